--- /dev/null
+++ b/src/main/java/org/spruceridge/api/Admission.java
@@ -0,0 +1,62 @@
+package org.spruceridge.api;
+
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
+import java.util.Optional;
+import org.spruceridge.cluster.JobSpec;
+import org.spruceridge.cluster.MachineType;
+import org.spruceridge.cluster.Room;
+import org.spruceridge.config.Settings.Team;
+
+/** Judges whether a well-formed job can ever run. */
+final class Admission {
+    private final ImmutableMap<String, Team> teams;
+
+    Admission(ImmutableMap<String, Team> teams) {
+        this.teams = teams;
+    }
+
+    /** Why the job can never run; empty if it can. */
+    Optional<String> objection(JobSpec spec, ImmutableMap<String, MachineType> types) {
+        Team team = teams.get(spec.team());
+        if (team == null) {
+            return Optional.of("unknown team");
+        }
+        boolean fits = types.values().stream()
+                .anyMatch(t -> spec.task().fitsIn(t.room())
+                        && t.zones().stream().anyMatch(zone -> spec.allows(t.name(), zone, false)));
+        if (!fits) {
+            return Optional.of("a task fits no allowed machine type");
+        }
+        Room limit = new Room(
+                team.cpusMax() > 0 ? team.cpusMax() : Double.MAX_VALUE,
+                team.gpusMax() > 0 ? team.gpusMax() : Double.MAX_VALUE,
+                Double.MAX_VALUE);
+        return spec.task().fitsIn(limit) ? Optional.empty() : Optional.of("a task needs more than the team's limit");
+    }
+
+    /** The job with only those types named that exist, so that its record stays small. */
+    static JobSpec trimmed(JobSpec s, ImmutableMap<String, MachineType> types) {
+        Optional<ImmutableSet<String>> known =
+                s.types().map(t -> Sets.intersection(t, types.keySet()).immutableCopy());
+        return new JobSpec(
+                s.id(),
+                s.jobClass(),
+                s.team(),
+                s.rank(),
+                s.tasks(),
+                s.task(),
+                known,
+                s.zone(),
+                s.oneZone(),
+                s.spread(),
+                s.spot(),
+                s.image(),
+                s.imageGb(),
+                s.estimateS(),
+                s.checkpointS(),
+                s.saveS(),
+                s.deadlineS());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spruceridge/api/JobsEndpoint.java
@@ -0,0 +1,247 @@
+package org.spruceridge.api;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.cache.Cache;
+import com.google.common.cache.CacheBuilder;
+import com.google.common.collect.ImmutableMap;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.spruceridge.cluster.JobSpec;
+import org.spruceridge.cluster.MachineType;
+import org.spruceridge.config.Settings;
+import org.spruceridge.net.BadMessageException;
+import org.spruceridge.net.Budget.Rank;
+import org.spruceridge.net.Json;
+import org.spruceridge.net.Loop;
+import org.spruceridge.net.Oddities;
+import org.spruceridge.net.Response;
+import org.spruceridge.net.Times;
+import org.spruceridge.peer.Beacon.Progress;
+import org.spruceridge.record.JobRecord;
+import org.spruceridge.record.Keys;
+import org.spruceridge.record.SpecMessage;
+import org.spruceridge.state.Result;
+import org.spruceridge.state.StateClient;
+import org.spruceridge.state.Transaction;
+import org.spruceridge.state.TxnResult;
+
+/** What users ask of any node: submissions, polls and cancellations, each decided by the job's record. */
+public final class JobsEndpoint {
+    private static final int RETRY_AFTER_S = 1;
+    private static final int ENDED_KEPT = 20_000;
+    /** Users wait 5 s for an answer; within this time an unknown outcome is still asked after. */
+    private static final long PATIENCE = Times.millis(3500);
+
+    private final Loop loop;
+    private final StateClient state;
+    private final Admission admission;
+    private final Supplier<Optional<ImmutableMap<String, MachineType>>> catalogue;
+    private final Function<String, Progress> progress;
+    private final Oddities oddities;
+    /** Ends never change, so they may be answered from memory. */
+    private final Cache<String, Ended> ended =
+            CacheBuilder.newBuilder().maximumSize(ENDED_KEPT).build();
+
+    private record Ended(JobRecord.Stage stage, int tasks) {}
+
+    public JobsEndpoint(
+            Loop loop,
+            StateClient state,
+            Settings settings,
+            Supplier<Optional<ImmutableMap<String, MachineType>>> catalogue,
+            Function<String, Progress> progress,
+            Oddities oddities) {
+        this.loop = loop;
+        this.state = state;
+        this.admission = new Admission(settings.teams());
+        this.catalogue = catalogue;
+        this.progress = progress;
+        this.oddities = oddities;
+    }
+
+    /** POST /api/jobs. */
+    public void submit(byte[] body, Consumer<Response> answer) {
+        JsonNode json;
+        try {
+            json = Json.object(body);
+        } catch (BadMessageException e) {
+            answer.accept(Response.error(400, e.getMessage()));
+            return;
+        }
+        JobSpec spec;
+        try {
+            spec = SpecMessage.read(json);
+        } catch (BadMessageException e) {
+            Response refusal = Response.error(400, e.getMessage());
+            // An id that was accepted once is never refused, whatever the repeat looks like.
+            SpecMessage.idOf(json).ifPresentOrElse(id -> lookUp(id, refusal, answer), () -> answer.accept(refusal));
+            return;
+        }
+        Optional<ImmutableMap<String, MachineType>> types = catalogue.get();
+        if (types.isEmpty()) {
+            lookUp(spec.id(), Response.later(RETRY_AFTER_S, "machine types not known yet"), answer);
+            return;
+        }
+        Optional<String> objection = admission.objection(spec, types.get());
+        if (objection.isPresent()) {
+            lookUp(spec.id(), Response.error(422, objection.get()), answer);
+            return;
+        }
+        accept(Admission.trimmed(spec, types.get()), answer);
+    }
+
+    /** GET /api/jobs/{id}. */
+    public void poll(String id, Consumer<Response> answer) {
+        if (SpecMessage.isId(id)) {
+            lookUp(id, unknownJob(), answer);
+        } else {
+            answer.accept(unknownJob());
+        }
+    }
+
+    /** POST /api/jobs/{id}/abort. */
+    public void abort(String id, Consumer<Response> answer) {
+        if (SpecMessage.isId(id)) {
+            abort(id, loop.nanos() + PATIENCE, answer);
+        } else {
+            answer.accept(unknownJob());
+        }
+    }
+
+    private void accept(JobSpec spec, Consumer<Response> answer) {
+        JobRecord record = new JobRecord(spec, loop.wallMillis(), JobRecord.Stage.OPEN);
+        Transaction txn = Transaction.builder()
+                .set(Keys.job(spec.id()), 0, record.write())
+                .set(Keys.open(spec.id()), 0, record.write())
+                .build();
+        settle(txn, loop.nanos() + PATIENCE, answer, result -> {
+            if (result.committed()) {
+                answer.accept(Response.of(201, brief(spec.id(), "pending")));
+            } else {
+                lookUp(spec.id(), later(), answer);
+            }
+        });
+    }
+
+    private void abort(String id, long until, Consumer<Response> answer) {
+        state.get(Keys.job(id), Rank.SUBMISSIONS, found -> {
+            if (!found.isOk()) {
+                answer.accept(found.kind() == Result.Kind.MISSING ? unknownJob() : later());
+                return;
+            }
+            Optional<JobRecord> record = read(id, found.value().value());
+            if (record.isEmpty()) {
+                answer.accept(Response.error(500, "unreadable record"));
+                return;
+            }
+            if (record.get().stage() != JobRecord.Stage.OPEN) {
+                remember(record.get());
+                answer.accept(Response.of(200, brief(id, word(record.get().stage()))));
+                return;
+            }
+            JobRecord cancelled = record.get().ended(JobRecord.Stage.CANCELLED);
+            long stamp = found.value().stamp(); // the marker was written with the record
+            Transaction txn = Transaction.builder()
+                    .set(Keys.job(id), stamp, cancelled.write())
+                    .drop(Keys.open(id), stamp)
+                    .build();
+            settle(txn, until, answer, result -> {
+                if (result.committed()) {
+                    remember(cancelled);
+                    answer.accept(Response.of(200, brief(id, "cancelled")));
+                } else if (loop.nanos() < until) {
+                    abort(id, until, answer);
+                } else {
+                    answer.accept(later());
+                }
+            });
+        });
+    }
+
+    /** Commits; an unknown outcome is settled by the same transaction again, while the user still waits. */
+    private void settle(Transaction txn, long until, Consumer<Response> answer, Consumer<TxnResult> settled) {
+        state.commit(txn, Rank.SUBMISSIONS, result -> {
+            switch (result.kind()) {
+                case COMMITTED, CONFLICT -> settled.accept(result);
+                case UNKNOWN -> {
+                    if (loop.nanos() < until) {
+                        settle(txn, until, answer, settled);
+                    } else {
+                        answer.accept(later());
+                    }
+                }
+                case REJECTED -> answer.accept(Response.error(400, "the job is too large to be kept"));
+                default -> answer.accept(later());
+            }
+        });
+    }
+
+    /** Answers with the job's present state, or as given if there is no such job. */
+    private void lookUp(String id, Response ifMissing, Consumer<Response> answer) {
+        Ended end = ended.getIfPresent(id);
+        if (end != null) {
+            answer.accept(Response.of(200, full(id, end)));
+            return;
+        }
+        state.get(Keys.job(id), Rank.SUBMISSIONS, found -> {
+            if (found.isOk()) {
+                answer.accept(read(id, found.value().value())
+                        .map(this::present)
+                        .orElseGet(() -> Response.error(500, "unreadable record")));
+            } else {
+                answer.accept(found.kind() == Result.Kind.MISSING ? ifMissing : later());
+            }
+        });
+    }
+
+    private Response present(JobRecord record) {
+        String id = record.spec().id();
+        if (record.stage() == JobRecord.Stage.OPEN) {
+            Progress now = progress.apply(id);
+            return Response.of(
+                    200,
+                    brief(id, now.running() > 0 ? "running" : "pending")
+                            .put("done", now.done())
+                            .put("running", now.running()));
+        }
+        remember(record);
+        return Response.of(200, full(id, new Ended(record.stage(), record.spec().tasks())));
+    }
+
+    private void remember(JobRecord record) {
+        ended.put(record.spec().id(), new Ended(record.stage(), record.spec().tasks()));
+    }
+
+    private Optional<JobRecord> read(String id, JsonNode value) {
+        try {
+            return Optional.of(JobRecord.read(value));
+        } catch (BadMessageException e) {
+            oddities.note("unreadable job record", id + ": " + e.getMessage());
+            return Optional.empty();
+        }
+    }
+
+    private static ObjectNode brief(String id, String stage) {
+        return Json.object().put("nameId", id).put("stage", stage);
+    }
+
+    private static ObjectNode full(String id, Ended end) {
+        boolean done = end.stage == JobRecord.Stage.DONE;
+        return brief(id, word(end.stage)).put("done", done ? end.tasks : 0).put("running", 0);
+    }
+
+    private static String word(JobRecord.Stage stage) {
+        return stage == JobRecord.Stage.DONE ? "done" : "cancelled";
+    }
+
+    private static Response later() {
+        return Response.later(RETRY_AFTER_S, "the state service does not answer now");
+    }
+
+    private static Response unknownJob() {
+        return Response.error(404, "no such job");
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spruceridge/api/Router.java
@@ -0,0 +1,79 @@
+package org.spruceridge.api;
+
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.spruceridge.net.BadMessageException;
+import org.spruceridge.net.Json;
+import org.spruceridge.net.Oddities;
+import org.spruceridge.net.Request;
+import org.spruceridge.net.RequestHandler;
+import org.spruceridge.net.Response;
+import org.spruceridge.worker.Report;
+
+/** Hands each request to its endpoint. */
+public final class Router implements RequestHandler {
+    private static final String JOBS = "/api/jobs";
+
+    private final JobsEndpoint jobs;
+    private final Function<Report, Response> reports;
+    private final BooleanSupplier healthy;
+    private final Oddities oddities;
+
+    public Router(JobsEndpoint jobs, Function<Report, Response> reports, BooleanSupplier healthy, Oddities oddities) {
+        this.jobs = jobs;
+        this.reports = reports;
+        this.healthy = healthy;
+        this.oddities = oddities;
+    }
+
+    @Override
+    public void handle(Request request, Consumer<Response> answer) {
+        String path = request.path();
+        if (path.equals("/hello")) {
+            only("POST", request, answer, () -> answer.accept(report(request.body())));
+        } else if (path.equals("/healthz")) {
+            only("GET", request, answer, () -> answer.accept(health()));
+        } else if (path.equals(JOBS)) {
+            only("POST", request, answer, () -> jobs.submit(request.body(), answer));
+        } else if (path.startsWith(JOBS + "/")) {
+            job(path.substring(JOBS.length() + 1), request, answer);
+        } else {
+            answer.accept(Response.error(404, "no such path"));
+        }
+    }
+
+    private void job(String rest, Request request, Consumer<Response> answer) {
+        int slash = rest.indexOf('/');
+        if (slash < 0) {
+            only("GET", request, answer, () -> jobs.poll(rest, answer));
+        } else if (rest.substring(slash).equals("/abort")) {
+            only("POST", request, answer, () -> jobs.abort(rest.substring(0, slash), answer));
+        } else {
+            answer.accept(Response.error(404, "no such path"));
+        }
+    }
+
+    private Response report(byte[] body) {
+        try {
+            return reports.apply(Report.read(body));
+        } catch (BadMessageException e) {
+            oddities.note("unreadable report", e.getMessage());
+            return Response.error(400, e.getMessage());
+        }
+    }
+
+    private Response health() {
+        return healthy.getAsBoolean()
+                ? Response.of(200, Json.object().put("status", "ok"))
+                : Response.error(503, "cut off from the state service");
+    }
+
+    private static void only(String method, Request request, Consumer<Response> answer, Runnable then) {
+        if (request.method().equals(method)) {
+            then.run();
+        } else {
+            answer.accept(Response.error(405, "only " + method));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spruceridge/cli/SettingsComplaint.java
@@ -0,0 +1,17 @@
+package org.spruceridge.cli;
+
+import org.spruceridge.config.SettingsException;
+import picocli.CommandLine;
+
+/** Says in one line what is wrong with the settings. */
+final class SettingsComplaint implements CommandLine.IExecutionExceptionHandler {
+    @Override
+    public int handleExecutionException(Exception e, CommandLine line, CommandLine.ParseResult parsed)
+            throws Exception {
+        if (e instanceof SettingsException) {
+            line.getErr().println("spruceridge: " + e.getMessage());
+            return Main.BAD_SETTINGS;
+        }
+        throw e;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spruceridge/cluster/Binding.java
@@ -0,0 +1,114 @@
+package org.spruceridge.cluster;
+
+/**
+ * One task on one machine, from the moment the leader proposes it until proof that the task is not there. Whatever is
+ * counted over bindings is counted over a superset of what really runs.
+ */
+public final class Binding {
+    /** How far the record of this binding has come. */
+    public enum Stage {
+        /** Its transaction has not been committed: no start may be sent. */
+        PROPOSED,
+        /** On record: starts may be sent. */
+        COMMITTED,
+        /** Proof that the task is gone was seen; the record still holds the binding. */
+        RELEASING,
+        /** Seen in a report without a record; halted, and counted until it is gone. */
+        STRAY
+    }
+
+    /** Why the task is to be stopped, if it is. */
+    public enum Halt {
+        NO,
+        /** Let it save if it can. */
+        SAVING,
+        /** At once: nobody has any use for what it does. */
+        AT_ONCE
+    }
+
+    private final TaskId task;
+    private final long attempt;
+    private final Machine machine;
+    private final Job job;
+    private Stage stage;
+    private Halt halt = Halt.NO;
+    private Phase phase = Phase.ABSENT;
+    private long runningSince;
+    private final long boundAt;
+
+    /** Where the worker's last authoritative report had the task. */
+    public enum Phase {
+        ABSENT,
+        FETCHING,
+        RUNNING,
+        SAVING,
+        ENDED
+    }
+
+    public Binding(Job job, int index, long attempt, Machine machine, Stage stage, long now) {
+        this.task = new TaskId(job.id(), index);
+        this.job = job;
+        this.attempt = attempt;
+        this.machine = machine;
+        this.stage = stage;
+        this.boundAt = now;
+    }
+
+    public TaskId task() {
+        return task;
+    }
+
+    public long attempt() {
+        return attempt;
+    }
+
+    public Machine machine() {
+        return machine;
+    }
+
+    public Job job() {
+        return job;
+    }
+
+    public Stage stage() {
+        return stage;
+    }
+
+    public void stage(Stage next) {
+        stage = next;
+    }
+
+    public Halt halt() {
+        return job.cancelled() ? Halt.AT_ONCE : halt;
+    }
+
+    public void halt(Halt why) {
+        halt = why;
+    }
+
+    public Phase phase() {
+        return phase;
+    }
+
+    /** Takes over what a report said of the task. */
+    public void phase(Phase seen, long now) {
+        if (seen == Phase.RUNNING && phase != Phase.RUNNING) {
+            runningSince = now;
+        }
+        phase = seen;
+    }
+
+    /** Seconds that the task has been seen running. */
+    public double elapsedS(long now) {
+        return phase == Phase.RUNNING || phase == Phase.SAVING ? (now - runningSince) / 1e9 : 0;
+    }
+
+    public long boundAt() {
+        return boundAt;
+    }
+
+    @Override
+    public String toString() {
+        return task + "#" + attempt + "@" + machine.name();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spruceridge/cluster/Job.java
@@ -0,0 +1,151 @@
+package org.spruceridge.cluster;
+
+import java.util.BitSet;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.agrona.collections.Int2ObjectHashMap;
+
+/** A job that is unfinished, or has ended while tasks of it may still be on machines. */
+public final class Job {
+    /** Machines that a job must fail on before the fault is taken to be its own. */
+    private static final int MACHINES_TO_DOUBT = 3;
+
+    private final JobSpec spec;
+    private final long stamp;
+    private final long submittedMs;
+    private final BitSet done = new BitSet();
+    private final BitSet taken = new BitSet();
+    private final Int2ObjectHashMap<Binding> bindings = new Int2ObjectHashMap<>();
+    private final Map<Integer, Long> chunkStamps = new HashMap<>();
+    private final Set<String> faultyOn = new HashSet<>();
+    private boolean cancelled;
+    private long notBefore = Long.MIN_VALUE;
+
+    /** {@code stamp} is that of the job's record and of its marker, which are written together. */
+    public Job(JobSpec spec, long stamp, long submittedMs) {
+        this.spec = spec;
+        this.stamp = stamp;
+        this.submittedMs = submittedMs;
+    }
+
+    public String id() {
+        return spec.id();
+    }
+
+    public JobSpec spec() {
+        return spec;
+    }
+
+    public long stamp() {
+        return stamp;
+    }
+
+    public long submittedMs() {
+        return submittedMs;
+    }
+
+    public boolean cancelled() {
+        return cancelled;
+    }
+
+    public void cancel() {
+        cancelled = true;
+    }
+
+    /** Tasks whose end is on record. */
+    public BitSet done() {
+        return done;
+    }
+
+    public int doneCount() {
+        return done.cardinality();
+    }
+
+    public void markDone(int index) {
+        done.set(index);
+        taken.set(index);
+    }
+
+    public boolean isDone(int index) {
+        return done.get(index);
+    }
+
+    public Collection<Binding> bindings() {
+        return bindings.values();
+    }
+
+    public Binding binding(int index) {
+        return bindings.get(index);
+    }
+
+    void bind(Binding binding) {
+        bindings.put(binding.task().index(), binding);
+        taken.set(binding.task().index());
+    }
+
+    void unbind(Binding binding) {
+        int index = binding.task().index();
+        if (bindings.get(index) == binding) {
+            bindings.remove(index);
+            if (!done.get(index)) {
+                taken.clear(index);
+            }
+        }
+    }
+
+    /** Tasks that are neither done nor bound. */
+    public int waiting() {
+        return cancelled ? 0 : spec.tasks() - taken.cardinality();
+    }
+
+    /** The first task from {@code from} on that is neither done nor bound, or -1. */
+    public int nextWaiting(int from) {
+        int next = taken.nextClearBit(from);
+        return next < spec.tasks() ? next : -1;
+    }
+
+    /** Tasks that a report showed running. */
+    public int running() {
+        int n = 0;
+        for (Binding b : bindings.values()) {
+            if (b.phase() == Binding.Phase.RUNNING || b.phase() == Binding.Phase.SAVING) {
+                n++;
+            }
+        }
+        return n;
+    }
+
+    /** Stamps of the records of finished tasks, by chunk. */
+    public Map<Integer, Long> chunkStamps() {
+        return chunkStamps;
+    }
+
+    /** Machines on which a task of this job failed since one last completed. */
+    public Set<String> faultyOn() {
+        return faultyOn;
+    }
+
+    /** Its tasks fail on one machine after another: likely it was submitted with a mistake. */
+    public boolean doubted() {
+        return faultyOn.size() >= MACHINES_TO_DOUBT;
+    }
+
+    /** No task of the job is placed before this moment, after errors. */
+    public long notBefore() {
+        return notBefore;
+    }
+
+    public void notBefore(long moment) {
+        notBefore = moment;
+    }
+
+    /** The moment, in milliseconds of the epoch, at which the job should be complete; infinite if it need not be. */
+    public double deadlineMs() {
+        return spec.deadlineS().isPresent()
+                ? submittedMs + spec.deadlineS().getAsDouble() * 1000
+                : Double.POSITIVE_INFINITY;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spruceridge/cluster/JobSpec.java
@@ -0,0 +1,43 @@
+package org.spruceridge.cluster;
+
+import com.google.common.collect.ImmutableSet;
+import java.util.Optional;
+import java.util.OptionalDouble;
+
+/** A job as its user submitted it. */
+public record JobSpec(
+        String id,
+        String jobClass,
+        String team,
+        Rank rank,
+        int tasks,
+        Room task,
+        Optional<ImmutableSet<String>> types,
+        Optional<String> zone,
+        boolean oneZone,
+        boolean spread,
+        boolean spot,
+        String image,
+        double imageGb,
+        double estimateS,
+        double checkpointS,
+        double saveS,
+        OptionalDouble deadlineS) {
+
+    /** True if a stopped task can go on from where it was. */
+    public boolean saves() {
+        return checkpointS > 0;
+    }
+
+    /** The most tasks that may be in one zone at a time. */
+    public int zoneLimit() {
+        return spread ? (tasks + 1) / 2 : tasks;
+    }
+
+    /** True if the job allows this type, zone and kind of machine, its other tasks apart. */
+    public boolean allows(String type, String machineZone, boolean spotMachine) {
+        return (types.isEmpty() || types.get().contains(type))
+                && (zone.isEmpty() || zone.get().equals(machineZone))
+                && (spot || !spotMachine);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spruceridge/cluster/Machine.java
@@ -0,0 +1,228 @@
+package org.spruceridge.cluster;
+
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+
+/** A machine as the leader of this term knows it. */
+public final class Machine {
+    private final String name;
+    private final String type;
+    private final String zone;
+    private final boolean spot;
+    private final Map<TaskId, Binding> bindings = new LinkedHashMap<>();
+    private final Set<String> failedJobs = new HashSet<>();
+    private String address;
+    private long stamp;
+    private long session;
+    private long sequence;
+    private long leastSession;
+    private boolean fenced;
+    private long lastHeard;
+    private long lastAnswered;
+    private boolean everHeard;
+    private long takenAt = Long.MAX_VALUE;
+    private long knownSince;
+    private boolean returning;
+    private boolean suspect;
+    private long idleSince;
+    private long lastStop = Long.MIN_VALUE;
+    private long lastListed = Long.MIN_VALUE;
+    private long bornAt;
+
+    /** {@code answeredAt} is the last moment at which any entitled node can have answered a report of it. */
+    public Machine(String name, String address, String type, String zone, boolean spot, long now, long answeredAt) {
+        this.name = name;
+        this.address = address;
+        this.type = type;
+        this.zone = zone;
+        this.spot = spot;
+        this.knownSince = now;
+        this.bornAt = now;
+        this.lastHeard = now;
+        this.lastAnswered = answeredAt;
+        this.idleSince = now;
+    }
+
+    public String name() {
+        return name;
+    }
+
+    public String address() {
+        return address;
+    }
+
+    public String type() {
+        return type;
+    }
+
+    public String zone() {
+        return zone;
+    }
+
+    public boolean spot() {
+        return spot;
+    }
+
+    public Collection<Binding> bindings() {
+        return bindings.values();
+    }
+
+    public Binding binding(TaskId task) {
+        return bindings.get(task);
+    }
+
+    void bind(Binding binding) {
+        bindings.put(binding.task(), binding);
+    }
+
+    void unbind(Binding binding, long now) {
+        bindings.remove(binding.task(), binding);
+        if (bindings.isEmpty()) {
+            idleSince = now;
+        }
+    }
+
+    /** What all bindings of the machine take together. */
+    public Room used() {
+        Room sum = Room.NONE;
+        for (Binding b : bindings.values()) {
+            sum = sum.plus(b.job().spec().task());
+        }
+        return sum;
+    }
+
+    /** The stamp of the machine's record, 0 while there is none. */
+    public long stamp() {
+        return stamp;
+    }
+
+    public void stamp(long revision) {
+        stamp = revision;
+    }
+
+    public long session() {
+        return session;
+    }
+
+    /** True if (session, sequence) is newer than all that was heard, and not of a session known to be over. */
+    public boolean isNews(long reportSession, long reportSequence) {
+        return reportSession >= leastSession
+                && (reportSession > session || (reportSession == session && reportSequence > sequence));
+    }
+
+    /** Takes note of a report. */
+    public void heard(long reportSession, long reportSequence, String reportAddress, long now) {
+        if (!everHeard) {
+            idleSince = now;
+        }
+        session = reportSession;
+        sequence = reportSequence;
+        address = reportAddress;
+        lastHeard = now;
+        everHeard = true;
+    }
+
+    /** The lease of the session ran out: what it may still have sent changes nothing. */
+    public void endSession() {
+        leastSession = session + 1;
+        fenced = false;
+    }
+
+    /** True once a report carried this term's token: no older leader's answer counts there any more. */
+    public boolean fenced() {
+        return fenced;
+    }
+
+    public void fence() {
+        fenced = true;
+    }
+
+    public long lastHeard() {
+        return lastHeard;
+    }
+
+    public boolean everHeard() {
+        return everHeard;
+    }
+
+    public long lastAnswered() {
+        return lastAnswered;
+    }
+
+    public void answered(long now) {
+        lastAnswered = now;
+    }
+
+    /** When the cloud will take the machine away; Long.MAX_VALUE if no notice was given. */
+    public long takenAt() {
+        return takenAt;
+    }
+
+    public void takenAt(long moment) {
+        takenAt = moment;
+    }
+
+    public boolean noticed() {
+        return takenAt != Long.MAX_VALUE;
+    }
+
+    public long knownSince() {
+        return knownSince;
+    }
+
+    /** When it was rented, as far as is known. */
+    public long bornAt() {
+        return bornAt;
+    }
+
+    public void bornAt(long moment) {
+        bornAt = moment;
+    }
+
+    /** The machine is being given back: nothing is placed on it any more. */
+    public boolean returning() {
+        return returning;
+    }
+
+    public void returning(boolean value) {
+        returning = value;
+    }
+
+    /** Jobs that failed on this machine since a task last completed on it. */
+    public Set<String> failedJobs() {
+        return failedJobs;
+    }
+
+    /** Tasks of several jobs failed here. */
+    public boolean suspect() {
+        return suspect;
+    }
+
+    public void suspect(boolean value) {
+        suspect = value;
+    }
+
+    /** Since when it has had no binding. */
+    public long idleSince() {
+        return idleSince;
+    }
+
+    public long lastStop() {
+        return lastStop;
+    }
+
+    public void lastStop(long moment) {
+        lastStop = moment;
+    }
+
+    public long lastListed() {
+        return lastListed;
+    }
+
+    public void listed(long now) {
+        lastListed = now;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spruceridge/cluster/Room.java
@@ -0,0 +1,30 @@
+package org.spruceridge.cluster;
+
+/** CPUs, GPUs and memory, as an amount that a machine has or a task takes. */
+public record Room(double cpus, double gpus, double memGb) {
+    public static final Room NONE = new Room(0, 0, 0);
+    /** Amounts are decimal numbers; sums of them may be off in the last places. */
+    private static final double SLACK = 1e-6;
+
+    public Room plus(Room other) {
+        return new Room(cpus + other.cpus, gpus + other.gpus, memGb + other.memGb);
+    }
+
+    public Room minus(Room other) {
+        return new Room(cpus - other.cpus, gpus - other.gpus, memGb - other.memGb);
+    }
+
+    /** True if a task of this size goes into that room. */
+    public boolean fitsIn(Room room) {
+        return cpus <= room.cpus + SLACK && gpus <= room.gpus + SLACK && memGb <= room.memGb + SLACK;
+    }
+
+    /** How many tasks of the given size go in. */
+    public int holds(Room task) {
+        double n = Integer.MAX_VALUE;
+        n = task.cpus > 0 ? Math.min(n, (cpus + SLACK) / task.cpus) : n;
+        n = task.gpus > 0 ? Math.min(n, (gpus + SLACK) / task.gpus) : n;
+        n = task.memGb > 0 ? Math.min(n, (memGb + SLACK) / task.memGb) : n;
+        return (int) Math.max(0, Math.floor(n));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spruceridge/fleet/Demand.java
@@ -0,0 +1,141 @@
+package org.spruceridge.fleet;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.spruceridge.cluster.Cluster;
+import org.spruceridge.cluster.JobSpec;
+import org.spruceridge.cluster.Machine;
+import org.spruceridge.cluster.MachineType;
+import org.spruceridge.cluster.Room;
+
+/**
+ * Packs tasks that found no room into machines that are coming, and then into machines yet to be rented, the cheapest
+ * that fits and can be had. It only computes; what it asks for is the fleet's to rent.
+ */
+final class Demand {
+    private static final int MOST_NEW = 100;
+
+    private final Cluster cluster;
+    private final Predicate<Offer> available;
+    private final List<Bin> bins = new ArrayList<>();
+    private final Map<Offer, Integer> wanted = new HashMap<>();
+    private final Map<String, Integer> perZone = new HashMap<>();
+    private final Set<Machine> kept = new HashSet<>();
+    private int fresh;
+
+    /** {@code available} tells which offers were not refused lately. */
+    Demand(Cluster cluster, Predicate<Offer> available) {
+        this.cluster = cluster;
+        this.available = available;
+        for (Machine m : cluster.machines()) {
+            perZone.merge(m.zone(), 1, Integer::sum);
+        }
+    }
+
+    /** Room on a machine that is there. */
+    void add(Machine machine) {
+        bins.add(new Bin(new Offer(machine.type(), machine.zone(), machine.spot()), cluster.free(machine), machine));
+    }
+
+    /** Room on a machine that was asked for. */
+    void add(Offer offer) {
+        MachineType type = cluster.types().get(offer.type());
+        if (type != null) {
+            bins.add(new Bin(offer, type.room(), null));
+        }
+    }
+
+    /** Finds room for tasks of a job, asking for machines where there is none. */
+    void place(JobSpec spec, int count) {
+        int left = count;
+        for (Bin bin : bins) {
+            if (left == 0) {
+                return;
+            }
+            left -= bin.take(spec, left);
+        }
+        while (left > 0 && fresh < MOST_NEW) {
+            Optional<Offer> offer = cheapest(spec);
+            if (offer.isEmpty()) {
+                return;
+            }
+            Bin bin =
+                    new Bin(offer.get(), cluster.types().get(offer.get().type()).room(), null);
+            bins.add(bin);
+            fresh++;
+            wanted.merge(offer.get(), 1, Integer::sum);
+            perZone.merge(offer.get().zone(), 1, Integer::sum);
+            left -= bin.take(spec, left);
+        }
+    }
+
+    /** Machines to be rented, by kind. */
+    Map<Offer, Integer> wanted() {
+        return wanted;
+    }
+
+    /** Machines whose room was counted on. */
+    Set<Machine> kept() {
+        return kept;
+    }
+
+    private Optional<Offer> cheapest(JobSpec spec) {
+        List<Offer> offers = new ArrayList<>();
+        for (MachineType type : cluster.types().values()) {
+            if (!spec.task().fitsIn(type.room())) {
+                continue;
+            }
+            for (String zone : type.zones()) {
+                for (boolean spot : new boolean[] {true, false}) {
+                    Offer offer = new Offer(type.name(), zone, spot);
+                    if (spec.allows(type.name(), zone, spot) && available.test(offer)) {
+                        offers.add(offer);
+                    }
+                }
+            }
+        }
+        return offers.stream()
+                .min(Comparator.comparingDouble((Offer o) -> pricePerTask(o, spec))
+                        .thenComparing(o -> perZone.getOrDefault(o.zone(), 0))
+                        .thenComparing(Offer::zone));
+    }
+
+    private double pricePerTask(Offer offer, JobSpec spec) {
+        MachineType type = cluster.types().get(offer.type());
+        int holds = Math.min(spec.tasks(), type.room().holds(spec.task()));
+        return type.price(offer.spot()) / Math.max(1, holds);
+    }
+
+    private final class Bin {
+        private final Offer offer;
+        private final Machine machine;
+        private Room free;
+
+        Bin(Offer offer, Room free, Machine machine) {
+            this.offer = offer;
+            this.free = free;
+            this.machine = machine;
+        }
+
+        int take(JobSpec spec, int most) {
+            if (!spec.allows(offer.type(), offer.zone(), offer.spot())) {
+                return 0;
+            }
+            int n = Math.min(most, free.holds(spec.task()));
+            for (int i = 0; i < n; i++) {
+                free = free.minus(spec.task());
+            }
+            if (n > 0 && machine != null) {
+                kept.add(machine);
+            }
+            return n;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spruceridge/fleet/Fleet.java
@@ -0,0 +1,356 @@
+package org.spruceridge.fleet;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.Lists;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.spruceridge.cloud.CloudClient;
+import org.spruceridge.cloud.HostInfo;
+import org.spruceridge.cloud.Rental;
+import org.spruceridge.cluster.Binding;
+import org.spruceridge.cluster.Cluster;
+import org.spruceridge.cluster.Machine;
+import org.spruceridge.cluster.MachineType;
+import org.spruceridge.config.Policy;
+import org.spruceridge.config.Settings;
+import org.spruceridge.net.Loop;
+import org.spruceridge.net.Scope;
+import org.spruceridge.net.Times;
+import org.spruceridge.schedule.Plan;
+
+/** Keeps the machines: rents what the rounds lack, returns what idles, and finds out which are gone. */
+public final class Fleet {
+    private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
+    /** A deleted machine costs at least this long, so an idle one is not returned before. */
+    private static final double LEAST_PAID_S = 60;
+    /** Beyond a lease's drift: late timers, on both sides. */
+    private static final double LEASE_MARGIN_S = 1;
+
+    private static final long CATALOGUE_EVERY = Times.nanos(60);
+    private static final long RETRY = Times.nanos(2);
+
+    private final Loop loop;
+    private final Scope scope;
+    private final CloudClient cloud;
+    private final Cluster cluster;
+    private final MachineLog ledger;
+    private final Settings settings;
+    private final Policy policy;
+    private final long term;
+    private final BooleanSupplier leads;
+    private final Supplier<Plan> lastPlan;
+    private final Runnable changed;
+    private final Standby standby;
+    private final Map<Offer, Long> refusedUntil = new HashMap<>();
+    private final Map<String, Claim> claims = new LinkedHashMap<>();
+    private final Set<String> deleting = new HashSet<>();
+    private final Set<String> unlisted = new HashSet<>();
+    private long claimCount;
+
+    /** A rental request that is on its way. */
+    private record Claim(Offer offer, int count, long askedAt) {}
+
+    public Fleet(
+            Loop loop,
+            Scope scope,
+            CloudClient cloud,
+            Cluster cluster,
+            MachineLog ledger,
+            Settings settings,
+            Policy policy,
+            long term,
+            BooleanSupplier leads,
+            Supplier<Plan> lastPlan,
+            Runnable changed) {
+        this.loop = loop;
+        this.scope = scope;
+        this.cloud = cloud;
+        this.cluster = cluster;
+        this.ledger = ledger;
+        this.settings = settings;
+        this.policy = policy;
+        this.term = term;
+        this.leads = leads;
+        this.lastPlan = lastPlan;
+        this.changed = changed;
+        this.standby = new Standby(settings);
+    }
+
+    public void start() {
+        refreshCatalogue();
+        refreshList();
+        tick();
+    }
+
+    private void refreshCatalogue() {
+        cloud.catalogue(scope.guard(answer -> {
+            answer.ifPresent(types -> {
+                cluster.types(types);
+                changed.run();
+            });
+            scope.after(answer.isPresent() ? CATALOGUE_EVERY : RETRY, this::refreshCatalogue);
+        }));
+    }
+
+    private void refreshList() {
+        cloud.machines(scope.guard(answer -> {
+            answer.ifPresent(this::takeList);
+            scope.after(Math.max(RETRY, Times.nanos(settings.cloud().listLagS() / 2)), this::refreshList);
+        }));
+    }
+
+    private void tick() {
+        if (leads.getAsBoolean()) {
+            endLeases();
+            deleteLost();
+            rentAndReturn();
+        }
+        scope.after(Times.nanos(settings.workers().reportS() / 3), this::tick);
+    }
+
+    private void takeList(ImmutableList<HostInfo> list) {
+        long now = loop.nanos();
+        List<String> failed = new ArrayList<>();
+        for (HostInfo host : list) {
+            Machine machine = cluster.machine(host.name());
+            if (host.stage() == HostInfo.Stage.FAILED) {
+                if (machine != null) {
+                    LOG.info("machine {} has failed", machine.name());
+                    gone(machine);
+                }
+                if (unlisted.add(host.name())) {
+                    failed.add(host.name());
+                }
+                continue;
+            }
+            if (machine == null && !cluster.isGone(host.name())) {
+                machine = new Machine(host.name(), host.address(), host.type(), host.zone(), host.spot(), now, now);
+                cluster.add(machine);
+            }
+            if (machine != null) {
+                machine.listed(now);
+                machine.bornAt(Math.min(machine.bornAt(), now - Times.nanos(host.ageS())));
+            }
+        }
+        for (List<String> part : Lists.partition(failed, CloudClient.MOST_DELETED)) {
+            cloud.delete(part, scope.guard(ok -> {
+                if (!ok) {
+                    part.forEach(unlisted::remove);
+                }
+            }));
+        }
+    }
+
+    /** A machine that nobody can have answered for a whole lease has killed its tasks. */
+    private void endLeases() {
+        long lease = Times.nanos(settings.workers().leaseS() * (1 + 2 * Times.DRIFT) + LEASE_MARGIN_S);
+        long now = loop.nanos();
+        for (Machine m : ImmutableList.copyOf(cluster.machines())) {
+            boolean open = m.bindings().stream().anyMatch(b -> b.stage() != Binding.Stage.RELEASING);
+            if (open && now - m.lastAnswered() > lease) {
+                LOG.info(
+                        "machine {} has not reported for a lease: its {} tasks are gone",
+                        m.name(),
+                        m.bindings().size());
+                m.endSession();
+                releaseAll(m);
+            }
+        }
+    }
+
+    private void releaseAll(Machine m) {
+        for (Binding b : ImmutableList.copyOf(m.bindings())) {
+            if (b.stage() == Binding.Stage.STRAY) {
+                cluster.unbind(b, loop.nanos());
+            } else {
+                ledger.release(b, false);
+            }
+        }
+    }
+
+    /** Deletes machines that fell silent or never came up; the deletion proves that their tasks are gone. */
+    private void deleteLost() {
+        long now = loop.nanos();
+        double silentS = policy.fleet().silentOfLease() * settings.workers().leaseS();
+        Map<String, int[]> heardOfZone = new HashMap<>();
+        for (Machine m : cluster.machines()) {
+            if (m.everHeard()) {
+                int[] counts = heardOfZone.computeIfAbsent(m.zone(), z -> new int[2]);
+                counts[0]++;
+                counts[1] += secondsSince(m.lastHeard(), now) < silentS ? 1 : 0;
+            }
+        }
+        List<Machine> lost = new ArrayList<>();
+        for (Machine m : cluster.machines()) {
+            double silentForS = secondsSince(m.lastHeard(), now);
+            if (!m.everHeard()) {
+                double bootS = cluster.typeOf(m).map(MachineType::bootS).orElse(Double.MAX_VALUE);
+                boolean stuck = secondsSince(m.bornAt(), now) > policy.fleet().stuckOfBoot() * bootS;
+                if (stuck
+                        && secondsSince(m.knownSince(), now)
+                                > settings.workers().leaseS()) {
+                    lost.add(m);
+                }
+            } else if (silentForS > silentS) {
+                // Where most machines of a zone are silent it is rather the network, and they may be back.
+                int[] counts = heardOfZone.get(m.zone());
+                boolean alone = counts[1] * 2 > counts[0];
+                if (alone || silentForS > 4 * settings.workers().leaseS()) {
+                    lost.add(m);
+                }
+            }
+        }
+        if (!lost.isEmpty()) {
+            delete(lost, "lost or never up");
+        }
+    }
+
+    private static double secondsSince(long moment, long now) {
+        return (now - moment) / 1e9;
+    }
+
+    private void rentAndReturn() {
+        Plan plan = lastPlan.get();
+        if (plan == null || cluster.types().isEmpty()) {
+            return;
+        }
+        long now = loop.nanos();
+        Demand demand = new Demand(cluster, offer -> refusedUntil.getOrDefault(offer, Long.MIN_VALUE) <= now);
+        List<Machine> here = new ArrayList<>();
+        for (Machine m : cluster.machines()) {
+            if (m.returning() || m.suspect() || m.noticed()) {
+                continue;
+            }
+            if (m.everHeard()) {
+                here.add(m);
+            } else if (comingSoon(m, now)) {
+                demand.add(m);
+            }
+        }
+        for (Claim claim : claims.values()) {
+            for (int i = 0; i < claim.count; i++) {
+                demand.add(claim.offer);
+            }
+        }
+        plan.unplaced().forEach((job, count) -> demand.place(job.spec(), count));
+        here.forEach(demand::add); // standing by may count on room that the round left free
+        standby.wanted(cluster, now, demand::place);
+        demand.wanted().forEach(this::rent);
+        returnIdle(demand.kept(), now);
+    }
+
+    private boolean comingSoon(Machine m, long now) {
+        double bootS = cluster.typeOf(m).map(MachineType::bootS).orElse(0.0);
+        return secondsSince(m.bornAt(), now) < 2 * bootS
+                || secondsSince(m.knownSince(), now) < 2 * settings.workers().reportS();
+    }
+
+    private void rent(Offer offer, int count) {
+        String name = term + "-" + (++claimCount);
+        Claim claim = new Claim(offer, Math.min(count, CloudClient.MOST_RENTED), loop.nanos());
+        claims.put(name, claim);
+        LOG.info(
+                "renting {} {} in {}, {}, as {}",
+                claim.count,
+                offer.type(),
+                offer.zone(),
+                offer.spot() ? "spot" : "ordinary",
+                name);
+        ask(name, claim);
+    }
+
+    private void ask(String name, Claim claim) {
+        Offer offer = claim.offer;
+        cloud.rent(name, offer.type(), offer.zone(), offer.spot(), claim.count, scope.guard(rental -> {
+            if (rental.kind() == Rental.Kind.UNKNOWN) {
+                // Machines may have been rented: the same claim asks what came of it and rents nothing twice.
+                scope.after(RETRY, () -> ask(name, claim));
+                return;
+            }
+            claims.remove(name);
+            rented(name, claim, rental);
+        }));
+    }
+
+    private void rented(String name, Claim claim, Rental rental) {
+        long now = loop.nanos();
+        Offer offer = claim.offer;
+        for (String id : rental.machines()) {
+            if (cluster.machine(id) == null && !cluster.isGone(id)) {
+                Machine m = new Machine(id, "", offer.type(), offer.zone(), offer.spot(), now, now);
+                m.bornAt(claim.askedAt);
+                cluster.add(m);
+            }
+        }
+        if (rental.machines().size() < claim.count) {
+            LOG.info(
+                    "claim {}: {}, {} machines",
+                    name,
+                    rental.kind(),
+                    rental.machines().size());
+            double bootS = cluster.types().containsKey(offer.type())
+                    ? cluster.types().get(offer.type()).bootS()
+                    : settings.workers().leaseS();
+            boolean full = rental.kind() == Rental.Kind.NO_CAPACITY || rental.kind() == Rental.Kind.RENTED;
+            refusedUntil.put(offer, now + (full ? Times.nanos(bootS) : RETRY));
+        }
+    }
+
+    private void returnIdle(Set<Machine> kept, long now) {
+        List<Machine> idle = new ArrayList<>();
+        for (Machine m : cluster.machines()) {
+            if (!m.bindings().isEmpty() || m.returning() || !m.everHeard()) {
+                continue;
+            }
+            double bootS = cluster.typeOf(m).map(MachineType::bootS).orElse(0.0);
+            boolean useless = m.suspect() || m.noticed();
+            boolean idleLong = secondsSince(m.idleSince(), now) > policy.fleet().idleOfBoot() * bootS
+                    && secondsSince(m.bornAt(), now) > LEAST_PAID_S;
+            if (useless || (idleLong && !kept.contains(m))) {
+                idle.add(m);
+            }
+        }
+        if (!idle.isEmpty()) {
+            delete(idle, "idle or of no use");
+        }
+    }
+
+    private void delete(List<Machine> machines, String why) {
+        List<Machine> fresh = new ArrayList<>();
+        for (Machine m : machines) {
+            m.returning(true);
+            if (deleting.add(m.name())) {
+                fresh.add(m);
+            }
+        }
+        for (List<Machine> part : Lists.partition(fresh, CloudClient.MOST_DELETED)) {
+            List<String> names = part.stream().map(Machine::name).toList();
+            LOG.info("returning {}: {}", names, why);
+            cloud.delete(names, scope.guard(ok -> {
+                names.forEach(deleting::remove);
+                if (ok) {
+                    part.forEach(this::gone);
+                } else {
+                    scope.after(RETRY, () -> delete(part, why));
+                }
+            }));
+        }
+    }
+
+    /** There is proof that the machine is gone, with everything on it. */
+    private void gone(Machine m) {
+        releaseAll(m);
+        ledger.dropMachine(m);
+        cluster.remove(m);
+        changed.run();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spruceridge/fleet/Standby.java
@@ -0,0 +1,70 @@
+package org.spruceridge.fleet;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import org.spruceridge.cluster.Cluster;
+import org.spruceridge.cluster.Job;
+import org.spruceridge.cluster.JobSpec;
+import org.spruceridge.cluster.MachineType;
+import org.spruceridge.config.Settings;
+import org.spruceridge.net.Times;
+
+/**
+ * Room kept free for classes whose tasks should start sooner than a machine boots: as much as the class has lately
+ * had unfinished at one time.
+ */
+final class Standby {
+    /** How long a peak is remembered, in boot times. */
+    private static final double MEMORY_OF_BOOT = 15;
+
+    private final Settings settings;
+    private final Map<String, Peak> peaks = new HashMap<>();
+
+    Standby(Settings settings) {
+        this.settings = settings;
+    }
+
+    /** Hands on, for each such class, a job of it and how many of its tasks should find room. */
+    void wanted(Cluster cluster, long now, BiConsumer<JobSpec, Integer> take) {
+        double bootS = cluster.types().values().stream()
+                .mapToDouble(MachineType::bootS)
+                .min()
+                .orElse(0);
+        for (Settings.Objective aim : settings.objectives()) {
+            if (!aim.kind().equals("wait") || aim.withinS() >= bootS) {
+                continue;
+            }
+            int unfinished = 0;
+            JobSpec example = null;
+            for (Job job : cluster.jobs()) {
+                if (job.spec().jobClass().equals(aim.jobClass()) && !job.cancelled()) {
+                    unfinished += job.spec().tasks() - job.doneCount();
+                    example = job.spec();
+                }
+            }
+            Peak peak = peaks.computeIfAbsent(aim.jobClass(), c -> new Peak());
+            peak.see(example, unfinished, now, Times.nanos(MEMORY_OF_BOOT * bootS));
+            if (peak.example != null) {
+                take.accept(peak.example, peak.tasks);
+            }
+        }
+    }
+
+    private static final class Peak {
+        private JobSpec example;
+        private int tasks;
+        private long at;
+
+        void see(JobSpec seen, int unfinished, long now, long memory) {
+            example = seen == null ? example : seen;
+            if (unfinished >= tasks) {
+                tasks = unfinished;
+                at = now;
+            } else if (now - at > memory) {
+                tasks = Math.max(1, tasks - 1);
+                at = now;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spruceridge/lead/Election.java
@@ -0,0 +1,285 @@
+package org.spruceridge.lead;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.spruceridge.config.Policy;
+import org.spruceridge.config.Settings;
+import org.spruceridge.net.BadMessageException;
+import org.spruceridge.net.Budget.Rank;
+import org.spruceridge.net.Cancellable;
+import org.spruceridge.net.Json;
+import org.spruceridge.net.Loop;
+import org.spruceridge.net.Oddities;
+import org.spruceridge.net.Scope;
+import org.spruceridge.net.Times;
+import org.spruceridge.record.Keys;
+import org.spruceridge.record.LeaderRecord;
+import org.spruceridge.state.Change;
+import org.spruceridge.state.Entry;
+import org.spruceridge.state.Result;
+import org.spruceridge.state.StateClient;
+import org.spruceridge.state.Transaction;
+import org.spruceridge.state.TxnResult;
+
+/**
+ * Elects the leader by one guarded transaction on the state service, and keeps its grant alive. The term that the
+ * transaction writes is the token of all orders.
+ */
+public final class Election {
+    private static final Logger LOG = LoggerFactory.getLogger(Election.class);
+    private static final double WATCH_S = 20;
+    private static final long RETRY = Times.millis(250);
+    /** What is taken off a grant's time for rounding and late timers, as a share of it. */
+    private static final double SAFETY = 0.03;
+
+    /** Hears of this node's terms. */
+    public interface Listener {
+        void won(Tenure tenure);
+
+        void lost();
+    }
+
+    private final Loop loop;
+    private final StateClient state;
+    private final RandomGenerator random;
+    private final Oddities oddities;
+    private final String hostName;
+    private final String incarnation;
+    private final long ttl;
+    private final long renewEvery;
+    private final Listener listener;
+    private final Scope scope;
+    private Cancellable watch = () -> {};
+    private Optional<LeaderRecord> known = Optional.empty();
+    private boolean campaigning;
+    private Tenure tenure;
+    private long permit;
+    private long validUntil;
+
+    public Election(
+            Loop loop,
+            StateClient state,
+            RandomGenerator random,
+            Oddities oddities,
+            Settings settings,
+            Policy policy,
+            Listener listener) {
+        this.loop = loop;
+        this.state = state;
+        this.random = random;
+        this.oddities = oddities;
+        this.hostName = settings.hostName();
+        this.incarnation = Long.toHexString(random.nextLong());
+        this.ttl = Times.nanos(settings.workers().leaseS() * policy.leading().ttlOfLease());
+        this.renewEvery = (long) (ttl / policy.leading().renewalsPerTtl());
+        this.listener = listener;
+        this.scope = new Scope(loop);
+    }
+
+    public void start() {
+        read();
+    }
+
+    public void stop() {
+        watch.cancel();
+        scope.close();
+        if (tenure != null) {
+            tenure = null;
+            state.endGrant(permit);
+        }
+    }
+
+    /** True while this node may act as leader: its grant certainly has not ended. */
+    public boolean leads() {
+        return tenure != null && loop.nanos() < validUntil;
+    }
+
+    /** The name of the leader, as far as is known. */
+    public Optional<String> leaderName() {
+        return known.map(LeaderRecord::hostName);
+    }
+
+    /** Gives the lead up, as when the records are not as this node left them. */
+    public void resign(String why) {
+        if (tenure != null) {
+            LOG.warn("term {}: giving up the lead: {}", tenure.term(), why);
+            state.endGrant(permit);
+            lose();
+            scope.after(renewEvery, this::read);
+        }
+    }
+
+    private void read() {
+        watch.cancel();
+        state.list(Keys.LEADER, Rank.RENEWAL, scope.guard(listing -> {
+            if (!listing.isOk()) {
+                again();
+                return;
+            }
+            Optional<Entry> entry = listing.value().entries().stream()
+                    .filter(e -> e.key().equals(Keys.LEADER))
+                    .findFirst();
+            long revision = listing.value().revision();
+            judge(
+                    entry.map(Entry::value).map(this::parse),
+                    entry.map(Entry::stamp).orElse(0L),
+                    revision);
+            follow(revision);
+        }));
+    }
+
+    private void again() {
+        scope.after(RETRY + random.nextLong(RETRY), this::read);
+    }
+
+    private void follow(long from) {
+        watch.cancel();
+        watch = state.follow(Keys.LEADER, from, WATCH_S, scope.guard(result -> {
+            if (!result.isOk()) {
+                again();
+                return;
+            }
+            for (Change change : result.value().changes()) {
+                if (change.key().equals(Keys.LEADER)) {
+                    judge(
+                            change.dropped() ? Optional.empty() : Optional.of(parse(change.value())),
+                            change.dropped() ? 0 : change.stamp(),
+                            change.stamp());
+                }
+            }
+            follow(result.value().revision());
+        }));
+    }
+
+    private LeaderRecord parse(JsonNode value) {
+        try {
+            return LeaderRecord.read(value);
+        } catch (BadMessageException e) {
+            oddities.note("unreadable leader record", e.getMessage());
+            return new LeaderRecord("", "", 0);
+        }
+    }
+
+    /** Acts on what the leader key held as of a revision. */
+    private void judge(Optional<LeaderRecord> record, long stamp, long revision) {
+        if (tenure != null && revision <= tenure.leaderStamp()) {
+            return; // older than our win
+        }
+        if (!known.equals(record)) {
+            LOG.info(
+                    "leader: {}",
+                    record.map(r -> r.hostName() + ", term " + r.term()).orElse("none"));
+        }
+        known = record;
+        boolean mine = record.isPresent() && record.get().hostName().equals(hostName);
+        boolean thisLife = mine && record.get().incarnation().equals(incarnation);
+        if (tenure != null) {
+            if (thisLife && record.get().term() == tenure.term()) {
+                return;
+            }
+            lose();
+        }
+        if (record.isEmpty()) {
+            campaign(0);
+        } else if (mine) {
+            // Our host name under another life: that process is dead, for a host runs one at a time. Under this
+            // life: a campaign whose outcome was unknown has been carried out; its grant is not to be relied on.
+            campaign(stamp);
+        }
+    }
+
+    private void campaign(long leaderStamp) {
+        if (campaigning) {
+            return;
+        }
+        campaigning = true;
+        long asked = loop.nanos();
+        state.grant(ttl / 1_000_000, scope.guard(granted -> {
+            if (!granted.isOk()) {
+                giveUpCampaign();
+                return;
+            }
+            permit = granted.value();
+            validUntil = validity(asked);
+            state.get(Keys.TERM, Rank.RENEWAL, scope.guard(term -> {
+                if (term.kind() == Result.Kind.UNAVAILABLE) {
+                    giveUpCampaign();
+                    return;
+                }
+                long stamp = term.isOk() ? term.value().stamp() : 0;
+                long next = term.isOk() ? term.value().value().path("term").asLong() + 1 : 1;
+                LeaderRecord record = new LeaderRecord(hostName, incarnation, next);
+                Transaction txn = Transaction.builder()
+                        .set(Keys.LEADER, leaderStamp, record.write(), permit)
+                        .set(Keys.TERM, stamp, Json.object().put("term", next))
+                        .build();
+                attempt(txn, record);
+            }));
+        }));
+    }
+
+    private void attempt(Transaction txn, LeaderRecord record) {
+        state.commit(txn, Rank.RENEWAL, scope.guard(result -> {
+            if (result.kind() == TxnResult.Kind.COMMITTED) {
+                win(record, result.revision());
+            } else if (result.kind() == TxnResult.Kind.UNKNOWN && loop.nanos() < validUntil) {
+                scope.after(RETRY, () -> attempt(txn, record));
+            } else {
+                // Lost, refused, or unknown for too long: what the leader key says decides.
+                giveUpCampaign();
+            }
+        }));
+    }
+
+    private void giveUpCampaign() {
+        campaigning = false;
+        if (permit != 0) {
+            state.endGrant(permit);
+            permit = 0;
+        }
+        again();
+    }
+
+    private void win(LeaderRecord record, long stamp) {
+        campaigning = false;
+        known = Optional.of(record);
+        tenure = new Tenure(record.term(), stamp, loop.nanos());
+        LOG.info("term {}: this node leads", record.term());
+        scope.after(renewEvery, () -> renew(record.term()));
+        listener.won(tenure);
+    }
+
+    private void renew(long term) {
+        if (tenure == null || tenure.term() != term) {
+            return;
+        }
+        state.renew(permit, renewEvery, scope.guard(result -> {
+            if (tenure == null || tenure.term() != term) {
+                return;
+            }
+            if (result.kind() == Result.Kind.MISSING) {
+                lose();
+                read();
+                return;
+            }
+            if (result.isOk()) {
+                validUntil = validity(result.value());
+            }
+            scope.after(result.isOk() ? renewEvery : renewEvery / 4, () -> renew(term));
+        }));
+    }
+
+    private long validity(long sentAt) {
+        return sentAt + (long) (ttl * (1 - Times.DRIFT - SAFETY));
+    }
+
+    private void lose() {
+        LOG.info("term {}: this node no longer leads", tenure.term());
+        tenure = null;
+        permit = 0;
+        listener.lost();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spruceridge/lead/JobWatch.java
@@ -0,0 +1,124 @@
+package org.spruceridge.lead;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.spruceridge.cluster.Cluster;
+import org.spruceridge.cluster.Job;
+import org.spruceridge.net.BadMessageException;
+import org.spruceridge.net.Budget.Rank;
+import org.spruceridge.net.Cancellable;
+import org.spruceridge.net.Oddities;
+import org.spruceridge.net.Scope;
+import org.spruceridge.net.Times;
+import org.spruceridge.record.JobRecord;
+import org.spruceridge.record.Keys;
+import org.spruceridge.state.Change;
+import org.spruceridge.state.Entry;
+import org.spruceridge.state.Result;
+import org.spruceridge.state.StateClient;
+
+/** Learns of accepted and cancelled jobs by watching the markers of unfinished jobs. */
+public final class JobWatch {
+    private static final double WATCH_S = 20;
+    private static final long RETRY = Times.millis(250);
+
+    private final Scope scope;
+    private final StateClient state;
+    private final Cluster cluster;
+    private final Ledger ledger;
+    private final Oddities oddities;
+    private final Runnable changed;
+    private Cancellable watch = () -> {};
+
+    public JobWatch(
+            Scope scope, StateClient state, Cluster cluster, Ledger ledger, Oddities oddities, Runnable changed) {
+        this.scope = scope;
+        this.state = state;
+        this.cluster = cluster;
+        this.ledger = ledger;
+        this.oddities = oddities;
+        this.changed = changed;
+    }
+
+    /** Follows all changes after a revision. */
+    public void start(long from) {
+        watch = state.follow(Keys.OPEN, from, WATCH_S, scope.guard(result -> {
+            if (result.isOk()) {
+                result.value().changes().forEach(this::apply);
+                if (!result.value().changes().isEmpty()) {
+                    changed.run();
+                }
+                start(result.value().revision());
+            } else if (result.kind() == Result.Kind.TOO_OLD) {
+                readAgain();
+            } else {
+                scope.after(RETRY, () -> start(from));
+            }
+        }));
+    }
+
+    public void stop() {
+        watch.cancel();
+    }
+
+    /** Marks a job as cancelled by its user: what waits is withdrawn, what runs is stopped. */
+    public void cancelled(Job job) {
+        if (!job.cancelled()) {
+            job.cancel();
+            job.chunkStamps().forEach((chunk, stamp) -> ledger.drop(Keys.finished(job.id(), chunk), stamp));
+            job.chunkStamps().clear();
+            ledger.withdraw(job);
+            changed.run();
+        }
+    }
+
+    private void apply(Change change) {
+        String id = change.key().substring(Keys.OPEN.length());
+        if (change.dropped()) {
+            dropped(id);
+        } else {
+            add(id, change.value(), change.stamp());
+        }
+    }
+
+    private void dropped(String id) {
+        Job job = cluster.job(id);
+        if (job != null && !ledger.finishing(job)) {
+            cancelled(job);
+        }
+    }
+
+    private void add(String id, JsonNode value, long stamp) {
+        if (cluster.job(id) != null) {
+            return;
+        }
+        try {
+            JobRecord record = JobRecord.read(value);
+            cluster.add(new Job(record.spec(), stamp, record.submittedMs()));
+        } catch (BadMessageException e) {
+            oddities.note("unreadable job record", id + ": " + e.getMessage());
+        }
+    }
+
+    private void readAgain() {
+        state.list(Keys.OPEN, Rank.REPORTS, scope.guard(listing -> {
+            if (!listing.isOk()) {
+                scope.after(RETRY, this::readAgain);
+                return;
+            }
+            Set<String> open = new HashSet<>();
+            for (Entry e : listing.value().entries()) {
+                String id = e.key().substring(Keys.OPEN.length());
+                open.add(id);
+                add(id, e.value(), e.stamp());
+            }
+            List.copyOf(cluster.jobs()).stream()
+                    .filter(job -> !open.contains(job.id()))
+                    .forEach(job -> dropped(job.id()));
+            changed.run();
+            start(listing.value().revision());
+        }));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spruceridge/lead/Leader.java
@@ -0,0 +1,136 @@
+package org.spruceridge.lead;
+
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.spruceridge.cloud.CloudClient;
+import org.spruceridge.cluster.Cluster;
+import org.spruceridge.cluster.Job;
+import org.spruceridge.config.Policy;
+import org.spruceridge.config.Settings;
+import org.spruceridge.fleet.Fleet;
+import org.spruceridge.net.Loop;
+import org.spruceridge.net.Oddities;
+import org.spruceridge.net.Scope;
+import org.spruceridge.net.Times;
+import org.spruceridge.schedule.Matching;
+import org.spruceridge.state.StateClient;
+import org.spruceridge.worker.Order;
+import org.spruceridge.worker.Report;
+
+/** All that a node does while it leads: one object for each term, stopped with it. */
+public final class Leader {
+    /** Rounds run at least this often, in report periods: time alone changes scores and silences machines. */
+    private static final double IDLE_ROUND_OF_REPORT = 1.0;
+
+    private final Loop loop;
+    private final Scope scope;
+    private final Cluster cluster = new Cluster();
+    private final Ledger ledger;
+    private final ReportDesk desk;
+    private final JobWatch watch;
+    private final Takeover takeover;
+    private final Rounds rounds;
+    private final Fleet fleet;
+    private final Tenure tenure;
+    private final long idleRound;
+    private boolean ready;
+
+    /** {@code leads} tells whether the grant still holds; {@code resign} gives the lead up with a reason. */
+    public Leader(
+            Loop loop,
+            StateClient state,
+            CloudClient cloud,
+            Settings settings,
+            Policy policy,
+            Oddities oddities,
+            Tenure tenure,
+            BooleanSupplier leads,
+            Consumer<String> resign) {
+        this.loop = loop;
+        this.tenure = tenure;
+        this.scope = new Scope(loop);
+        this.idleRound = Times.nanos(settings.workers().reportS() * IDLE_ROUND_OF_REPORT);
+        Ledger.Listener events = new Ledger.Listener() {
+            @Override
+            public void committed() {
+                rounds.request();
+            }
+
+            @Override
+            public void cancelled(Job job) {
+                watch.cancelled(job);
+            }
+
+            @Override
+            public void finished(Job job) {}
+
+            @Override
+            public void broken(String why) {
+                resign.accept(why);
+            }
+        };
+        this.ledger = new Ledger(loop, scope, state, cluster, tenure, settings, events);
+        this.desk = new ReportDesk(loop, cluster, ledger, tenure, settings, oddities);
+        this.rounds = new Rounds(
+                loop,
+                scope,
+                cluster,
+                ledger,
+                new Matching(settings, policy, Ledger.mostBindings(settings)),
+                policy,
+                tenure);
+        this.watch = new JobWatch(scope, state, cluster, ledger, oddities, rounds::request);
+        this.takeover = new Takeover(loop, scope, state, cluster, ledger, tenure, settings, oddities);
+        this.fleet = new Fleet(
+                loop,
+                scope,
+                cloud,
+                cluster,
+                ledger,
+                settings,
+                policy,
+                tenure.term(),
+                leads,
+                rounds::lastPlan,
+                rounds::request);
+    }
+
+    public void start() {
+        takeover.start(revision -> {
+            ready = true;
+            watch.start(revision);
+            fleet.start();
+            tick();
+        });
+    }
+
+    public void stop() {
+        watch.stop();
+        scope.close();
+    }
+
+    public long term() {
+        return tenure.term();
+    }
+
+    /** The picture of this term, to be read only. */
+    public Cluster cluster() {
+        return cluster;
+    }
+
+    /** Takes a report; before the picture is complete it is only greeted. */
+    public List<Order> report(Report report) {
+        if (!ready) {
+            return desk.greet(report);
+        }
+        List<Order> orders = desk.take(report);
+        rounds.request();
+        return orders;
+    }
+
+    private void tick() {
+        rounds.request();
+        scope.after(idleRound, this::tick);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spruceridge/lead/ReportDesk.java
@@ -0,0 +1,247 @@
+package org.spruceridge.lead;
+
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.spruceridge.cluster.Binding;
+import org.spruceridge.cluster.Cluster;
+import org.spruceridge.cluster.Job;
+import org.spruceridge.cluster.JobSpec;
+import org.spruceridge.cluster.Machine;
+import org.spruceridge.cluster.TaskId;
+import org.spruceridge.config.Settings;
+import org.spruceridge.net.Loop;
+import org.spruceridge.net.Oddities;
+import org.spruceridge.net.Times;
+import org.spruceridge.worker.Order;
+import org.spruceridge.worker.Report;
+import org.spruceridge.worker.Report.Cause;
+import org.spruceridge.worker.Report.TaskReport;
+
+/** Takes reports into the picture and answers them with orders. */
+public final class ReportDesk {
+    private static final Logger LOG = LoggerFactory.getLogger(ReportDesk.class);
+    /** Jobs that must fail on a machine before the machine is taken for faulty. */
+    private static final int FAULTY_JOBS = 2;
+
+    private final Loop loop;
+    private final Cluster cluster;
+    private final Ledger ledger;
+    private final long term;
+    private final Settings settings;
+    private final Oddities oddities;
+
+    public ReportDesk(Loop loop, Cluster cluster, Ledger ledger, Tenure tenure, Settings settings, Oddities oddities) {
+        this.loop = loop;
+        this.cluster = cluster;
+        this.ledger = ledger;
+        this.term = tenure.term();
+        this.settings = settings;
+        this.oddities = oddities;
+    }
+
+    /** Takes note that a machine reported, and hands it this term's token; its tasks are not looked at. */
+    public List<Order> greet(Report report) {
+        if (cluster.isGone(report.machine())) {
+            return List.of(); // a late report of a machine that was given back
+        }
+        Machine machine = machine(report);
+        if (machine.isNews(report.session(), report.sequence())) {
+            machine.heard(report.session(), report.sequence(), report.address(), loop.nanos());
+        }
+        machine.answered(loop.nanos());
+        return List.of();
+    }
+
+    /**
+     * Takes a report into the picture. Only one that is newer than all before it and carries this term's token counts:
+     * orders of earlier leaders can no longer reach that worker, so what the report lacks is not there.
+     */
+    public List<Order> take(Report report) {
+        if (cluster.isGone(report.machine())) {
+            return greet(report);
+        }
+        Machine machine = machine(report);
+        if (!machine.isNews(report.session(), report.sequence()) || report.token() != term) {
+            return greet(report);
+        }
+        long now = loop.nanos();
+        machine.heard(report.session(), report.sequence(), report.address(), now);
+        machine.answered(now);
+        machine.fence();
+        machine.takenAt(
+                report.noticeS().isPresent()
+                        ? now + Times.nanos(report.noticeS().getAsDouble())
+                        : Long.MAX_VALUE);
+        Map<TaskId, TaskReport> listed = new HashMap<>();
+        List<TaskReport> unbound = new ArrayList<>();
+        for (TaskReport task : report.tasks()) {
+            Binding b = machine.binding(task.task());
+            if (b != null && b.attempt() == task.attempt()) {
+                listed.put(task.task(), task);
+            } else {
+                unbound.add(task);
+            }
+        }
+        for (Binding b : ImmutableList.copyOf(machine.bindings())) {
+            see(b, listed.get(b.task()), now);
+        }
+        return orders(machine, unbound, now);
+    }
+
+    private Machine machine(Report report) {
+        Machine machine = cluster.machine(report.machine());
+        if (machine == null) {
+            long now = loop.nanos();
+            machine = new Machine(
+                    report.machine(), report.address(), report.type(), report.zone(), report.spot(), now, now);
+            cluster.add(machine);
+            LOG.info("machine {} ({} in {}) reports and was not known", machine.name(), machine.type(), machine.zone());
+        }
+        return machine;
+    }
+
+    private void see(Binding b, TaskReport seen, long now) {
+        if (seen == null) {
+            b.phase(Binding.Phase.ABSENT, now);
+            if (b.stage() == Binding.Stage.STRAY) {
+                cluster.unbind(b, now);
+                cluster.removeIfOver(b.job(), b.job().cancelled());
+            } else if (b.stage() == Binding.Stage.COMMITTED && mustNotStart(b)) {
+                ledger.release(b, false);
+            }
+            return;
+        }
+        switch (seen.state()) {
+            case FETCHING -> b.phase(Binding.Phase.FETCHING, now);
+            case RUNNING -> b.phase(Binding.Phase.RUNNING, now);
+            case SAVING -> b.phase(Binding.Phase.SAVING, now);
+            case EXITED -> exited(b, seen.cause(), now);
+        }
+    }
+
+    private void exited(Binding b, Cause cause, long now) {
+        if (b.phase() == Binding.Phase.ENDED) {
+            return; // its release is on the way
+        }
+        double ranS = b.elapsedS(now);
+        b.phase(Binding.Phase.ENDED, now);
+        LOG.debug("{} ended: {} after {} s", b, cause, ranS);
+        Job job = b.job();
+        Machine machine = b.machine();
+        switch (cause) {
+            case DONE -> {
+                machine.failedJobs().clear();
+                job.faultyOn().clear();
+            }
+            case ERROR -> failed(job, machine, now);
+            case NO_ROOM, BUSY, UNKNOWN -> {
+                oddities.note("start refused: " + cause, b.toString());
+                holdBack(job, now, settings.workers().reportS());
+            }
+            default -> {}
+        }
+        if (b.stage() == Binding.Stage.STRAY) {
+            b.stage(Binding.Stage.RELEASING);
+        }
+        ledger.release(b, cause == Cause.DONE);
+    }
+
+    /** Errors of several jobs on one machine speak against the machine, those of one job everywhere against the job. */
+    private void failed(Job job, Machine machine, long now) {
+        job.faultyOn().add(machine.name());
+        machine.failedJobs().add(job.id());
+        LOG.info("job {} failed on machine {}", job.id(), machine.name());
+        if (!machine.suspect() && machine.failedJobs().size() >= FAULTY_JOBS && !job.doubted()) {
+            machine.suspect(true);
+            LOG.info("machine {} is taken for faulty: {} failed on it", machine.name(), machine.failedJobs());
+        }
+        if (job.doubted()) {
+            double backoffS =
+                    settings.workers().reportS() * Math.pow(2, job.faultyOn().size());
+            holdBack(job, now, Math.min(backoffS, settings.workers().cancelS()));
+        }
+    }
+
+    private static void holdBack(Job job, long now, double seconds) {
+        job.notBefore(Math.max(job.notBefore(), now + Times.nanos(seconds)));
+    }
+
+    private static boolean mustNotStart(Binding b) {
+        return b.halt() != Binding.Halt.NO
+                || b.machine().returning()
+                || b.machine().noticed()
+                || b.machine().suspect();
+    }
+
+    private List<Order> orders(Machine machine, List<TaskReport> unbound, long now) {
+        List<Order> orders = new ArrayList<>();
+        for (TaskReport task : unbound) {
+            if (task.state() == Report.TaskState.EXITED) {
+                orders.add(Order.forget(task.task(), task.attempt()));
+            } else {
+                stray(machine, task, now);
+                orders.add(Order.stop(task.task(), task.attempt(), 0));
+            }
+        }
+        for (Binding b : machine.bindings()) {
+            switch (b.phase()) {
+                case ABSENT -> {
+                    if (b.stage() == Binding.Stage.COMMITTED && !mustNotStart(b)) {
+                        orders.add(Order.start(b.task(), b.attempt()));
+                    }
+                }
+                case FETCHING, RUNNING, SAVING -> {
+                    haltBeforeLoss(b, now);
+                    if (b.halt() == Binding.Halt.AT_ONCE) {
+                        orders.add(Order.stop(b.task(), b.attempt(), 0));
+                    } else if (b.halt() == Binding.Halt.SAVING && b.phase() != Binding.Phase.SAVING) {
+                        orders.add(Order.stop(b.task(), b.attempt(), graceS(b, now)));
+                    }
+                }
+                case ENDED -> {} // forgotten once its end is on record
+            }
+        }
+        return orders;
+    }
+
+    /** A running task that no record knows: it should not be. It is counted where it is, and stopped. */
+    private void stray(Machine machine, TaskReport task, long now) {
+        oddities.note("task without a binding", task.task() + "#" + task.attempt() + " on " + machine.name());
+        Job job = cluster.job(task.task().job());
+        if (job == null
+                || job.binding(task.task().index()) != null
+                || task.task().index() >= job.spec().tasks()) {
+            return;
+        }
+        Binding b = new Binding(job, task.task().index(), task.attempt(), machine, Binding.Stage.STRAY, now);
+        b.halt(Binding.Halt.AT_ONCE);
+        cluster.bind(b);
+    }
+
+    /** On a machine about to be taken, a task that cannot end in time is stopped while there is time to save. */
+    private void haltBeforeLoss(Binding b, long now) {
+        Machine machine = b.machine();
+        if (!machine.noticed() || b.halt() != Binding.Halt.NO) {
+            return;
+        }
+        JobSpec spec = b.job().spec();
+        double leftS = Times.seconds(machine.takenAt() - now);
+        // The next chance to say so is a report away, at the latest one and a quarter periods.
+        double lastChanceS = 2.5 * settings.workers().reportS() + (spec.saves() ? 1.5 * spec.saveS() : 0);
+        if (leftS <= lastChanceS) {
+            b.halt(Binding.Halt.SAVING);
+        }
+    }
+
+    private double graceS(Binding b, long now) {
+        double wanted = 2 * b.job().spec().saveS() + 1;
+        return b.machine().noticed()
+                ? Math.max(0, Math.min(wanted, Times.seconds(b.machine().takenAt() - now)))
+                : wanted;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spruceridge/lead/Rounds.java
@@ -0,0 +1,85 @@
+package org.spruceridge.lead;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.spruceridge.cluster.Binding;
+import org.spruceridge.cluster.Cluster;
+import org.spruceridge.config.Policy;
+import org.spruceridge.net.Loop;
+import org.spruceridge.net.Scope;
+import org.spruceridge.net.Times;
+import org.spruceridge.schedule.Matching;
+import org.spruceridge.schedule.Plan;
+
+/** Runs a round after each event, with at least a set time between two, and carries out what it decides. */
+public final class Rounds {
+    private static final Logger LOG = LoggerFactory.getLogger(Rounds.class);
+
+    private final Loop loop;
+    private final Scope scope;
+    private final Cluster cluster;
+    private final Ledger ledger;
+    private final Matching matching;
+    private final long spacing;
+    private final Tenure tenure;
+    private Plan lastPlan;
+    private boolean due;
+    private long lastRun;
+    private long attempts;
+
+    public Rounds(
+            Loop loop, Scope scope, Cluster cluster, Ledger ledger, Matching matching, Policy policy, Tenure tenure) {
+        this.loop = loop;
+        this.scope = scope;
+        this.cluster = cluster;
+        this.ledger = ledger;
+        this.matching = matching;
+        this.tenure = tenure;
+        this.spacing = Times.nanos(policy.rounds().spacingS());
+        this.lastRun = loop.nanos() - spacing;
+    }
+
+    /** Something happened that a new plan could use. */
+    public void request() {
+        if (!due) {
+            due = true;
+            scope.after(Math.max(0, lastRun + spacing - loop.nanos()), this::run);
+        }
+    }
+
+    /** The latest plan, or null before the first. */
+    public Plan lastPlan() {
+        return lastPlan;
+    }
+
+    private void run() {
+        due = false;
+        long now = loop.nanos();
+        lastRun = now;
+        Plan plan = matching.plan(cluster, now, loop.wallMillis());
+        lastPlan = plan;
+        for (Plan.Placement p : plan.placements()) {
+            Binding b = new Binding(p.job(), p.index(), nextAttempt(), p.machine(), Binding.Stage.PROPOSED, now);
+            cluster.bind(b);
+            ledger.bind(b);
+        }
+        for (Binding b : plan.stops()) {
+            b.halt(Binding.Halt.SAVING);
+            b.machine().lastStop(now);
+            LOG.info("stopping {} to make room for work of a higher rank", b);
+        }
+        if (LOG.isDebugEnabled()) {
+            LOG.debug(
+                    "round: {} placed, {} stopped, {} jobs left waiting for room, {} us",
+                    plan.placements().size(),
+                    plan.stops().size(),
+                    plan.unplaced().size(),
+                    (loop.nanos() - now) / 1000);
+        }
+    }
+
+    /** Attempts grow over all terms: the term is their upper part. */
+    private long nextAttempt() {
+        return (tenure.term() << 24) + (++attempts);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spruceridge/lead/Takeover.java
@@ -0,0 +1,221 @@
+package org.spruceridge.lead;
+
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+import java.util.function.LongConsumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.spruceridge.cluster.Binding;
+import org.spruceridge.cluster.Cluster;
+import org.spruceridge.cluster.Job;
+import org.spruceridge.cluster.Machine;
+import org.spruceridge.config.Settings;
+import org.spruceridge.net.BadMessageException;
+import org.spruceridge.net.Budget.Rank;
+import org.spruceridge.net.Loop;
+import org.spruceridge.net.Oddities;
+import org.spruceridge.net.Scope;
+import org.spruceridge.net.Times;
+import org.spruceridge.record.FinishedRecord;
+import org.spruceridge.record.JobRecord;
+import org.spruceridge.record.Keys;
+import org.spruceridge.record.MachineRecord;
+import org.spruceridge.state.Entry;
+import org.spruceridge.state.Listing;
+import org.spruceridge.state.Result;
+import org.spruceridge.state.StateClient;
+
+/**
+ * Builds the picture of a new term from the records. All reads are sent after the election, so no older leader can
+ * change what they find: only users' submissions and cancellations can, and those the watch brings.
+ */
+public final class Takeover {
+    private static final Logger LOG = LoggerFactory.getLogger(Takeover.class);
+    private static final long RETRY = Times.millis(200);
+
+    private final Loop loop;
+    private final Scope scope;
+    private final StateClient state;
+    private final Cluster cluster;
+    private final Ledger ledger;
+    private final Tenure tenure;
+    private final Oddities oddities;
+    private final int chunkSize;
+    private final Set<String> ended = new HashSet<>();
+
+    private record Recorded(String machine, long stamp, MachineRecord record) {}
+
+    public Takeover(
+            Loop loop,
+            Scope scope,
+            StateClient state,
+            Cluster cluster,
+            Ledger ledger,
+            Tenure tenure,
+            Settings settings,
+            Oddities oddities) {
+        this.loop = loop;
+        this.scope = scope;
+        this.state = state;
+        this.cluster = cluster;
+        this.ledger = ledger;
+        this.tenure = tenure;
+        this.oddities = oddities;
+        this.chunkSize = FinishedRecord.chunkSize(settings.state().valueKb());
+    }
+
+    /** Reads everything, then hands on the revision after which changes of jobs have to be followed. */
+    public void start(LongConsumer ready) {
+        list(
+                Keys.OPEN,
+                open -> list(
+                        Keys.FINISHED,
+                        finished -> list(Keys.MACHINES, machines -> {
+                            addJobs(open);
+                            addFinished(finished);
+                            List<Recorded> recorded = readMachines(machines);
+                            fetchEnded(recorded, () -> {
+                                recorded.forEach(this::addMachine);
+                                closeEnded();
+                                LOG.info(
+                                        "term {}: took over {} jobs and {} machines after {} ms",
+                                        tenure.term(),
+                                        cluster.jobs().size(),
+                                        cluster.machines().size(),
+                                        (loop.nanos() - tenure.since()) / 1_000_000);
+                                ready.accept(open.revision());
+                            });
+                        })));
+    }
+
+    private void list(String prefix, Consumer<Listing> next) {
+        state.list(prefix, Rank.RENEWAL, scope.guard(result -> {
+            if (result.isOk()) {
+                next.accept(result.value());
+            } else {
+                scope.after(RETRY, () -> list(prefix, next));
+            }
+        }));
+    }
+
+    private void addJobs(Listing open) {
+        for (Entry e : open.entries()) {
+            try {
+                JobRecord record = JobRecord.read(e.value());
+                cluster.add(new Job(record.spec(), e.stamp(), record.submittedMs()));
+            } catch (BadMessageException bad) {
+                oddities.note("unreadable job record", e.key() + ": " + bad.getMessage());
+            }
+        }
+    }
+
+    private void addFinished(Listing finished) {
+        for (Entry e : finished.entries()) {
+            try {
+                FinishedRecord record = FinishedRecord.read(e.key(), e.value());
+                Job job = cluster.job(record.job());
+                if (job == null) {
+                    ledger.drop(e.key(), e.stamp()); // its job has ended
+                    continue;
+                }
+                job.chunkStamps().put(record.chunk(), e.stamp());
+                record.tasks().stream().forEach(i -> job.markDone(record.chunk() * chunkSize + i));
+            } catch (BadMessageException bad) {
+                oddities.note("unreadable record of finished tasks", bad.getMessage());
+            }
+        }
+    }
+
+    private List<Recorded> readMachines(Listing machines) {
+        List<Recorded> out = new ArrayList<>();
+        for (Entry e : machines.entries()) {
+            try {
+                out.add(new Recorded(
+                        e.key().substring(Keys.MACHINES.length()), e.stamp(), MachineRecord.read(e.value())));
+            } catch (BadMessageException bad) {
+                oddities.note("unreadable machine record", e.key() + ": " + bad.getMessage());
+            }
+        }
+        return out;
+    }
+
+    /** Fetches the records of jobs that have ended while tasks of theirs are still bound. */
+    private void fetchEnded(List<Recorded> recorded, Runnable next) {
+        Set<String> missing = new TreeSet<>();
+        for (Recorded r : recorded) {
+            for (MachineRecord.Bound b : r.record().bound()) {
+                if (cluster.job(b.task().job()) == null) {
+                    missing.add(b.task().job());
+                }
+            }
+        }
+        fetchNext(new ArrayDeque<>(missing), next);
+    }
+
+    private void fetchNext(Deque<String> ids, Runnable next) {
+        if (ids.isEmpty()) {
+            next.run();
+            return;
+        }
+        String id = ids.peek();
+        state.get(Keys.job(id), Rank.RENEWAL, scope.guard(result -> {
+            if (result.kind() == Result.Kind.UNAVAILABLE) {
+                scope.after(RETRY, () -> fetchNext(ids, next));
+                return;
+            }
+            ids.remove();
+            try {
+                if (result.isOk()) {
+                    JobRecord record = JobRecord.read(result.value().value());
+                    cluster.add(new Job(record.spec(), result.value().stamp(), record.submittedMs()));
+                    ended.add(id);
+                }
+            } catch (BadMessageException bad) {
+                oddities.note("unreadable job record", id + ": " + bad.getMessage());
+            }
+            fetchNext(ids, next);
+        }));
+    }
+
+    private void addMachine(Recorded r) {
+        MachineRecord record = r.record();
+        Machine machine = cluster.machine(r.machine());
+        if (machine == null) {
+            // Any node entitled before this term can have answered it until the election.
+            machine = new Machine(
+                    r.machine(),
+                    record.address(),
+                    record.type(),
+                    record.zone(),
+                    record.spot(),
+                    loop.nanos(),
+                    tenure.since());
+            cluster.add(machine);
+        }
+        machine.stamp(r.stamp());
+        for (MachineRecord.Bound b : record.bound()) {
+            Job job = cluster.job(b.task().job());
+            if (job == null || b.task().index() >= job.spec().tasks()) {
+                oddities.note("binding of an unknown task", b.task() + " on " + r.machine());
+                continue;
+            }
+            cluster.bind(
+                    new Binding(job, b.task().index(), b.attempt(), machine, Binding.Stage.COMMITTED, loop.nanos()));
+        }
+    }
+
+    private void closeEnded() {
+        for (Job job : ImmutableList.copyOf(cluster.jobs())) {
+            if (ended.contains(job.id())) {
+                job.cancel(); // a job whose marker is gone while tasks are bound was cancelled
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spruceridge/net/BadMessageException.java
@@ -0,0 +1,10 @@
+package org.spruceridge.net;
+
+/** A message from outside that cannot be read. */
+public final class BadMessageException extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    public BadMessageException(String message) {
+        super(message, null, false, false);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spruceridge/net/Cancellable.java
@@ -0,0 +1,7 @@
+package org.spruceridge.net;
+
+/** Something pending that can be called off; calling it off twice is harmless. */
+@FunctionalInterface
+public interface Cancellable {
+    void cancel();
+}
--- /dev/null
+++ b/src/main/java/org/spruceridge/net/HttpCall.java
@@ -0,0 +1,14 @@
+package org.spruceridge.net;
+
+/** A request to another service; an empty body is none. */
+public record HttpCall(String method, String target, byte[] body) {
+    private static final byte[] NOTHING = {};
+
+    public static HttpCall get(String target) {
+        return new HttpCall("GET", target, NOTHING);
+    }
+
+    public static HttpCall post(String target, byte[] body) {
+        return new HttpCall("POST", target, body);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spruceridge/net/HttpServer.java
@@ -0,0 +1,194 @@
+package org.spruceridge.net;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.spruceridge.config.Address;
+
+/** The server on Netty: a handler for each connection, bounded in number, in body size and in time. */
+public final class HttpServer {
+    private static final Logger LOG = LoggerFactory.getLogger(HttpServer.class);
+    private static final int MAX_BODY = 64 << 10;
+    private static final int BACKLOG = 256;
+    private static final long REQUEST_NANOS = Times.nanos(10);
+    private static final long IDLE_NANOS = Times.nanos(90);
+
+    private final NettyLoop loop;
+    private final int maxConnections;
+    private final RequestHandler handler;
+    private int connections;
+
+    public HttpServer(NettyLoop loop, int maxConnections, RequestHandler handler) {
+        this.loop = loop;
+        this.maxConnections = maxConnections;
+        this.handler = handler;
+    }
+
+    /** Listens; throws if the address cannot be had. */
+    public void start(Address address) {
+        new ServerBootstrap()
+                .group(loop.group())
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel ch) {
+                        Connection connection = new Connection();
+                        ch.pipeline()
+                                .addLast(new Watchdog(connection))
+                                .addLast(new HttpServerCodec())
+                                .addLast(new HttpObjectAggregator(MAX_BODY, true))
+                                .addLast(connection);
+                    }
+                })
+                .bind(new InetSocketAddress(address.host(), address.port()))
+                .syncUninterruptibly();
+        LOG.info("listening on {}", address);
+    }
+
+    /** Closes connections that are silent between requests, or that send one too slowly. */
+    private final class Watchdog extends ChannelInboundHandlerAdapter {
+        private final Connection connection;
+        private Cancellable pending = () -> {};
+        private boolean receiving;
+        private boolean counted;
+
+        Watchdog(Connection connection) {
+            this.connection = connection;
+            connection.watchdog = this;
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            if (connections >= maxConnections) {
+                ctx.close();
+                return;
+            }
+            connections++;
+            counted = true;
+            expect(ctx, IDLE_NANOS);
+            ctx.fireChannelActive();
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            if (!receiving && !connection.busy) {
+                receiving = true;
+                expect(ctx, REQUEST_NANOS);
+            }
+            ctx.fireChannelRead(message);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            pending.cancel();
+            if (counted) {
+                counted = false;
+                connections--;
+            }
+            ctx.fireChannelInactive();
+        }
+
+        void received() {
+            receiving = false;
+            pending.cancel();
+        }
+
+        void answered(ChannelHandlerContext ctx) {
+            if (counted) {
+                expect(ctx, IDLE_NANOS);
+            }
+        }
+
+        private void expect(ChannelHandlerContext ctx, long nanos) {
+            pending.cancel();
+            pending = loop.after(nanos, ctx::close);
+        }
+    }
+
+    private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private Watchdog watchdog;
+        private boolean busy;
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+            watchdog.received();
+            if (busy) {
+                ctx.close(); // the protocol knows no pipelining
+                return;
+            }
+            if (request.decoderResult().isFailure()) {
+                write(ctx, Response.error(400, "malformed request"), false);
+                return;
+            }
+            busy = true;
+            boolean keepAlive = HttpUtil.isKeepAlive(request);
+            Request read =
+                    new Request(request.method().name(), path(request.uri()), ByteBufUtil.getBytes(request.content()));
+            try {
+                handler.handle(read, response -> write(ctx, response, keepAlive));
+            } catch (RuntimeException e) {
+                LOG.error("a request failed: {} {}", read.method(), read.path(), e);
+                if (busy) {
+                    write(ctx, Response.error(500, "internal error"), false);
+                }
+            }
+        }
+
+        private void write(ChannelHandlerContext ctx, Response response, boolean keepAlive) {
+            busy = false;
+            if (!ctx.channel().isActive()) {
+                return;
+            }
+            FullHttpResponse out = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.valueOf(response.status()),
+                    Unpooled.wrappedBuffer(response.body()));
+            out.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.body().length);
+            out.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
+            if (response.retryAfterS() > 0) {
+                out.headers().set(HttpHeaderNames.RETRY_AFTER, response.retryAfterS());
+            }
+            if (!keepAlive) {
+                out.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            }
+            watchdog.answered(ctx);
+            ctx.writeAndFlush(out)
+                    .addListener(keepAlive ? ChannelFutureListener.CLOSE_ON_FAILURE : ChannelFutureListener.CLOSE);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            LOG.debug("connection closed: {}", cause.toString());
+            ctx.close();
+        }
+
+        private static String path(String uri) {
+            int query = uri.indexOf('?');
+            return query < 0 ? uri : uri.substring(0, query);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spruceridge/net/Json.java
@@ -0,0 +1,96 @@
+package org.spruceridge.net;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+
+/** JSON bodies as trees, and reads of their fields that complain by {@link BadMessageException}. */
+public final class Json {
+    private static final JsonMapper MAPPER = JsonMapper.builder()
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+            .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+            .build();
+
+    private Json() {}
+
+    /** Parses a body; anything but one JSON object is refused. */
+    public static JsonNode object(byte[] body) throws BadMessageException {
+        JsonNode node;
+        try {
+            node = MAPPER.readTree(body);
+        } catch (IOException e) {
+            throw new BadMessageException("not JSON");
+        }
+        if (node == null || !node.isObject()) {
+            throw new BadMessageException("not an object");
+        }
+        return node;
+    }
+
+    public static byte[] bytes(JsonNode node) {
+        try {
+            return MAPPER.writeValueAsBytes(node);
+        } catch (JsonProcessingException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    public static ObjectNode object() {
+        return JsonNodeFactory.instance.objectNode();
+    }
+
+    public static ArrayNode array() {
+        return JsonNodeFactory.instance.arrayNode();
+    }
+
+    public static String text(JsonNode node, String name) throws BadMessageException {
+        JsonNode child = node.get(name);
+        if (child == null || !child.isTextual()) {
+            throw new BadMessageException(name + " is not a text");
+        }
+        return child.textValue();
+    }
+
+    public static String textOrNull(JsonNode node, String name) throws BadMessageException {
+        return node.hasNonNull(name) ? text(node, name) : null;
+    }
+
+    public static long whole(JsonNode node, String name) throws BadMessageException {
+        JsonNode child = node.get(name);
+        if (child == null || !child.isIntegralNumber() || !child.canConvertToLong() || child.longValue() < 0) {
+            throw new BadMessageException(name + " is not a count");
+        }
+        return child.longValue();
+    }
+
+    public static double number(JsonNode node, String name) throws BadMessageException {
+        JsonNode child = node.get(name);
+        if (child == null || !child.isNumber() || !Double.isFinite(child.doubleValue())) {
+            throw new BadMessageException(name + " is not a number");
+        }
+        return child.doubleValue();
+    }
+
+    public static boolean flag(JsonNode node, String name) throws BadMessageException {
+        JsonNode child = node.get(name);
+        if (child == null || !child.isBoolean()) {
+            throw new BadMessageException(name + " is not true or false");
+        }
+        return child.booleanValue();
+    }
+
+    public static JsonNode list(JsonNode node, String name) throws BadMessageException {
+        JsonNode child = node.get(name);
+        if (child == null || !child.isArray()) {
+            throw new BadMessageException(name + " is not a list");
+        }
+        return child;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spruceridge/net/NettyHttpClient.java
@@ -0,0 +1,217 @@
+package org.spruceridge.net;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.spruceridge.config.Address;
+
+/**
+ * The client on Netty: persistent connections, one request at a time on each. A connection whose request was given up
+ * is closed, so that no answer is ever taken for that of another request.
+ */
+public final class NettyHttpClient implements HttpClient {
+    private static final int MAX_RESPONSE = 16 << 20;
+    private static final int CONNECT_MILLIS = 1000;
+
+    private final NettyLoop loop;
+    private final Map<Address, Deque<Connection>> idle = new HashMap<>();
+
+    public NettyHttpClient(NettyLoop loop) {
+        this.loop = loop;
+    }
+
+    @Override
+    public Cancellable call(Address to, HttpCall call, long timeoutNanos, Consumer<HttpAnswer> done) {
+        Exchange exchange = new Exchange(to, call, done);
+        exchange.timeout = loop.after(timeoutNanos, exchange::giveUp);
+        Connection reused = takeIdle(to);
+        if (reused != null) {
+            reused.send(exchange);
+        } else {
+            connect(exchange);
+        }
+        return exchange::abandon;
+    }
+
+    private Connection takeIdle(Address to) {
+        Deque<Connection> waiting = idle.get(to);
+        while (waiting != null && !waiting.isEmpty()) {
+            Connection connection = waiting.pop();
+            if (connection.channel.isActive()) {
+                return connection;
+            }
+        }
+        return null;
+    }
+
+    private void connect(Exchange exchange) {
+        Connection connection = new Connection(exchange.to);
+        Bootstrap bootstrap = new Bootstrap()
+                .group(loop.group())
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel ch) {
+                        ch.pipeline()
+                                .addLast(new HttpClientCodec())
+                                .addLast(new HttpObjectAggregator(MAX_RESPONSE))
+                                .addLast(connection);
+                    }
+                });
+        ChannelFuture connecting = bootstrap.connect(new InetSocketAddress(exchange.to.host(), exchange.to.port()));
+        connection.channel = connecting.channel();
+        exchange.connection = connection;
+        connecting.addListener(f -> {
+            if (!f.isSuccess()) {
+                exchange.finish(HttpAnswer.silence());
+            } else if (exchange.over) {
+                connection.channel.close();
+            } else {
+                connection.send(exchange);
+            }
+        });
+    }
+
+    /** One request and what becomes of it. */
+    private static final class Exchange {
+        private final Address to;
+        private final HttpCall call;
+        private final Consumer<HttpAnswer> done;
+        private Cancellable timeout;
+        private Connection connection;
+        private boolean over;
+
+        Exchange(Address to, HttpCall call, Consumer<HttpAnswer> done) {
+            this.to = to;
+            this.call = call;
+            this.done = done;
+        }
+
+        void giveUp() {
+            if (!over) {
+                drop();
+                finish(HttpAnswer.silence());
+            }
+        }
+
+        void abandon() {
+            if (!over) {
+                over = true;
+                timeout.cancel();
+                drop();
+            }
+        }
+
+        void finish(HttpAnswer answer) {
+            if (!over) {
+                over = true;
+                timeout.cancel();
+                done.accept(answer);
+            }
+        }
+
+        private void drop() {
+            if (connection != null) {
+                connection.channel.close();
+            }
+        }
+    }
+
+    private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private final Address to;
+        private Channel channel;
+        private Exchange current;
+
+        Connection(Address to) {
+            this.to = to;
+        }
+
+        void send(Exchange exchange) {
+            current = exchange;
+            exchange.connection = this;
+            HttpCall call = exchange.call;
+            DefaultFullHttpRequest request = new DefaultFullHttpRequest(
+                    HttpVersion.HTTP_1_1,
+                    HttpMethod.valueOf(call.method()),
+                    call.target(),
+                    Unpooled.wrappedBuffer(call.body()));
+            request.headers().set(HttpHeaderNames.HOST, to.toString());
+            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body().length);
+            if (call.body().length > 0) {
+                request.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
+            }
+            channel.writeAndFlush(request);
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+            Exchange exchange = current;
+            current = null;
+            if (exchange == null || response.decoderResult().isFailure()) {
+                ctx.close();
+                if (exchange != null) {
+                    exchange.finish(HttpAnswer.silence());
+                }
+                return;
+            }
+            HttpAnswer answer = new HttpAnswer(response.status().code(), ByteBufUtil.getBytes(response.content()));
+            if (HttpUtil.isKeepAlive(response)) {
+                idle.computeIfAbsent(to, a -> new ArrayDeque<>()).push(this);
+            } else {
+                ctx.close();
+            }
+            exchange.finish(answer);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            Deque<Connection> waiting = idle.get(to);
+            if (waiting != null) {
+                waiting.remove(this);
+                if (waiting.isEmpty()) {
+                    idle.remove(to);
+                }
+            }
+            fail();
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+            fail();
+        }
+
+        private void fail() {
+            Exchange exchange = current;
+            current = null;
+            if (exchange != null) {
+                exchange.finish(HttpAnswer.silence());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spruceridge/net/Times.java
@@ -0,0 +1,21 @@
+package org.spruceridge.net;
+
+/** Durations of the settings, in seconds, as nanoseconds. */
+public final class Times {
+    /** The most that two steady clocks drift apart. */
+    public static final double DRIFT = 0.0005;
+
+    private Times() {}
+
+    public static long nanos(double seconds) {
+        return (long) (seconds * 1e9);
+    }
+
+    public static double seconds(long nanos) {
+        return nanos / 1e9;
+    }
+
+    public static long millis(double millis) {
+        return (long) (millis * 1e6);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spruceridge/node/Node.java
@@ -0,0 +1,184 @@
+package org.spruceridge.node;
+
+import com.google.common.collect.ImmutableMap;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.spruceridge.api.JobsEndpoint;
+import org.spruceridge.api.Router;
+import org.spruceridge.cloud.CloudClient;
+import org.spruceridge.cluster.Job;
+import org.spruceridge.cluster.MachineType;
+import org.spruceridge.config.Policy;
+import org.spruceridge.config.Settings;
+import org.spruceridge.lead.Election;
+import org.spruceridge.lead.Leader;
+import org.spruceridge.lead.Tenure;
+import org.spruceridge.net.Budget;
+import org.spruceridge.net.Budget.Rank;
+import org.spruceridge.net.HttpClient;
+import org.spruceridge.net.Loop;
+import org.spruceridge.net.Oddities;
+import org.spruceridge.net.RequestHandler;
+import org.spruceridge.net.Response;
+import org.spruceridge.net.Scope;
+import org.spruceridge.net.Times;
+import org.spruceridge.peer.Beacon;
+import org.spruceridge.peer.PeerLink;
+import org.spruceridge.peer.Peers;
+import org.spruceridge.record.Keys;
+import org.spruceridge.state.StateClient;
+import org.spruceridge.worker.Order;
+import org.spruceridge.worker.Report;
+
+/** One controller node: its duties, and what it does while it leads. Clocks, randomness and network come in. */
+public final class Node implements Election.Listener {
+    /** The share of the state service's changes that all followers have together. */
+    private static final double FOLLOWERS_SHARE = 0.4;
+    /** What is left unused of the limits, for the services' clocks and ours differ. */
+    private static final double HEADROOM = 0.95;
+
+    private static final long PULSE = Times.nanos(1);
+    private static final long CUT_OFF = Times.nanos(3);
+    private static final long CATALOGUE_RETRY = Times.nanos(2);
+    private static final long CATALOGUE_EVERY = Times.nanos(300);
+
+    private final Loop loop;
+    private final Scope scope;
+    private final Settings settings;
+    private final Policy policy;
+    private final Oddities oddities;
+    private final Budget stateBudget;
+    private final Budget cloudBudget;
+    private final StateClient state;
+    private final CloudClient cloud;
+    private final Election election;
+    private final Peers peers;
+    private final Router router;
+    private Optional<ImmutableMap<String, MachineType>> catalogue = Optional.empty();
+    private Leader leader;
+
+    public Node(Loop loop, HttpClient http, PeerLink link, RandomGenerator random, Settings settings, Policy policy) {
+        this.loop = loop;
+        this.scope = new Scope(loop);
+        this.settings = settings;
+        this.policy = policy;
+        this.oddities = new Oddities(loop);
+        this.stateBudget = new Budget(loop, 1, 1);
+        this.cloudBudget = new Budget(loop, 1, 1);
+        shareLimits(false);
+        this.state = new StateClient(loop, http, settings.stateAddress(), stateBudget, oddities);
+        this.cloud = new CloudClient(http, settings.cloudAddress(), cloudBudget, oddities);
+        this.election = new Election(loop, state, random, oddities, settings, policy, this);
+        this.peers = new Peers(loop, link, oddities, this::beacon);
+        JobsEndpoint jobs = new JobsEndpoint(loop, state, settings, () -> catalogue, this::progress, oddities);
+        this.router = new Router(jobs, this::report, this::healthy, oddities);
+    }
+
+    /** Takes the requests of users, workers and health checks. */
+    public RequestHandler handler() {
+        return router;
+    }
+
+    public void start() {
+        election.start();
+        peers.start();
+        refreshCatalogue();
+        pulse();
+    }
+
+    public void stop() {
+        scope.close();
+        peers.stop();
+        election.stop();
+        if (leader != null) {
+            leader.stop();
+            leader = null;
+        }
+    }
+
+    /** True while this node may act as leader. */
+    public boolean leads() {
+        return election.leads();
+    }
+
+    @Override
+    public void won(Tenure tenure) {
+        shareLimits(true);
+        leader = new Leader(loop, state, cloud, settings, policy, oddities, tenure, election::leads, election::resign);
+        leader.start();
+    }
+
+    @Override
+    public void lost() {
+        shareLimits(false);
+        if (leader != null) {
+            leader.stop();
+            leader = null;
+        }
+    }
+
+    private void shareLimits(boolean leading) {
+        int nodes = settings.nodeCount();
+        double share = nodes == 1 ? 1 : leading ? 1 - FOLLOWERS_SHARE : FOLLOWERS_SHARE / (nodes - 1);
+        double writeShare = HEADROOM * share;
+        double readShare = HEADROOM / nodes;
+        stateBudget.rates(settings.state().rps() * readShare, settings.state().writeRps() * writeShare);
+        double cloudShare = nodes == 1 ? 1 : leading ? 0.8 : 0.2 / (nodes - 1);
+        cloudBudget.rates(settings.cloud().rps() * HEADROOM * cloudShare, 1);
+    }
+
+    private Response report(Report report) {
+        if (!election.leads() || leader == null) {
+            String known = election.leaderName().orElse(null);
+            boolean other = known != null && !known.equals(settings.hostName());
+            return other ? Order.elsewhere(known) : Response.error(503, "no leader known");
+        }
+        if (report.token() > leader.term()) {
+            return Response.error(503, "a newer leader was seen");
+        }
+        return Order.answer(leader.term(), leader.report(report));
+    }
+
+    /** Users are better served elsewhere if this node alone cannot reach the state service. */
+    private boolean healthy() {
+        return stateServes() || !peers.anyServed();
+    }
+
+    private boolean stateServes() {
+        return state.sinceServed() < CUT_OFF;
+    }
+
+    private Beacon beacon() {
+        ImmutableMap.Builder<String, Beacon.Progress> progress = ImmutableMap.builder();
+        long term = 0;
+        if (leader != null && election.leads()) {
+            term = leader.term();
+            for (Job job : leader.cluster().jobs()) {
+                if (!job.cancelled()) {
+                    progress.put(job.id(), new Beacon.Progress(job.doneCount(), job.running()));
+                }
+            }
+        }
+        return new Beacon(settings.hostName(), state.everServed() && stateServes(), term, progress.build());
+    }
+
+    private Beacon.Progress progress(String id) {
+        if (leader != null) {
+            Job job = leader.cluster().job(id);
+            return job == null ? Beacon.Progress.NONE : new Beacon.Progress(job.doneCount(), job.running());
+        }
+        return peers.progress(id);
+    }
+
+    private void refreshCatalogue() {
+        cloud.catalogue(scope.guard(answer -> {
+            catalogue = answer.isPresent() ? answer : catalogue;
+            scope.after(answer.isPresent() ? CATALOGUE_EVERY : CATALOGUE_RETRY, this::refreshCatalogue);
+        }));
+    }
+
+    /** Asks the state service for something small, to know whether it serves this node. */
+    private void pulse() {
+        state.get(Keys.LEADER, Rank.RENEWAL, scope.guard(found -> scope.after(PULSE, this::pulse)));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spruceridge/peer/Beacon.java
@@ -0,0 +1,66 @@
+package org.spruceridge.peer;
+
+import com.google.common.collect.ImmutableMap;
+import java.io.IOException;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+import org.spruceridge.net.BadMessageException;
+
+/**
+ * What a node tells the others about once a second: whether the state service serves it, and, from the leader, how far
+ * open jobs have come. It is for display and for the health check; no decision rests on it.
+ */
+public record Beacon(String hostName, boolean stateServes, long term, ImmutableMap<String, Progress> progress) {
+    private static final int MOST_JOBS = 5000;
+
+    /** Tasks of a job that are done and that run. */
+    public record Progress(int done, int running) {
+        public static final Progress NONE = new Progress(0, 0);
+    }
+
+    public byte[] write() {
+        try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+            out.packArrayHeader(4);
+            out.packString(hostName);
+            out.packBoolean(stateServes);
+            out.packLong(term);
+            int jobs = Math.min(MOST_JOBS, progress.size());
+            out.packMapHeader(jobs);
+            for (var e : progress.entrySet()) {
+                if (jobs-- == 0) {
+                    break;
+                }
+                out.packString(e.getKey());
+                out.packArrayHeader(2);
+                out.packInt(e.getValue().done());
+                out.packInt(e.getValue().running());
+            }
+            return out.toByteArray();
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+
+    public static Beacon read(byte[] frame) throws BadMessageException {
+        try (MessageUnpacker in = MessagePack.newDefaultUnpacker(frame)) {
+            if (in.unpackArrayHeader() < 4) {
+                throw new BadMessageException("a beacon is too short");
+            }
+            String host = in.unpackString();
+            boolean serves = in.unpackBoolean();
+            long term = in.unpackLong();
+            int jobs = in.unpackMapHeader();
+            ImmutableMap.Builder<String, Progress> progress = ImmutableMap.builder();
+            for (int i = 0; i < jobs; i++) {
+                String id = in.unpackString();
+                in.unpackArrayHeader();
+                progress.put(id, new Progress(in.unpackInt(), in.unpackInt()));
+            }
+            return new Beacon(host, serves, term, progress.buildKeepingLast());
+        } catch (IOException | MessagePackException e) {
+            throw new BadMessageException("not a beacon: " + e.getClass().getSimpleName());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spruceridge/record/Keys.java
@@ -0,0 +1,33 @@
+package org.spruceridge.record;
+
+/** The names under which the service keeps its records in the state service. */
+public final class Keys {
+    public static final String LEADER = "leader";
+    public static final String TERM = "term";
+    public static final String JOBS = "job/";
+    public static final String OPEN = "open/";
+    public static final String FINISHED = "parts/";
+    public static final String MACHINES = "machine/";
+
+    private Keys() {}
+
+    /** The record of a job, which is never dropped. */
+    public static String job(String id) {
+        return JOBS + id;
+    }
+
+    /** The marker of an unfinished job, which is written with its record and dropped with its end. */
+    public static String open(String id) {
+        return OPEN + id;
+    }
+
+    /** One chunk of the record of an unfinished job's finished tasks. */
+    public static String finished(String id, int chunk) {
+        return FINISHED + id + "/" + chunk;
+    }
+
+    /** What is bound to a machine. */
+    public static String machine(String name) {
+        return MACHINES + name;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spruceridge/record/LeaderRecord.java
@@ -0,0 +1,20 @@
+package org.spruceridge.record;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.spruceridge.net.BadMessageException;
+import org.spruceridge.net.Json;
+
+/** Who leads: a node, which of its lives, and its term. */
+public record LeaderRecord(String hostName, String incarnation, long term) {
+    public static LeaderRecord read(JsonNode value) throws BadMessageException {
+        return new LeaderRecord(Json.text(value, "host"), Json.text(value, "incarnation"), Json.whole(value, "term"));
+    }
+
+    public ObjectNode write() {
+        return Json.object()
+                .put("host", hostName)
+                .put("incarnation", incarnation)
+                .put("term", term);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spruceridge/record/SpecMessage.java
@@ -0,0 +1,150 @@
+package org.spruceridge.record;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableSet;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.regex.Pattern;
+import org.spruceridge.cluster.JobSpec;
+import org.spruceridge.cluster.Rank;
+import org.spruceridge.cluster.Room;
+import org.spruceridge.net.BadMessageException;
+import org.spruceridge.net.Json;
+
+/** A job in JSON, as users send it and as its record keeps it. */
+public final class SpecMessage {
+    private static final Pattern ID = Pattern.compile("j-[0-9]{1,18}");
+    private static final int MAX_TASKS = 100_000;
+    private static final int MAX_NAME = 200;
+
+    private SpecMessage() {}
+
+    /** True if the text has the form of a job's id. */
+    public static boolean isId(String text) {
+        return ID.matcher(text).matches();
+    }
+
+    /** The id in a body that may be wrong elsewhere. */
+    public static Optional<String> idOf(JsonNode body) {
+        JsonNode id = body.path("nameId");
+        return id.isTextual() && isId(id.textValue()) ? Optional.of(id.textValue()) : Optional.empty();
+    }
+
+    public static JobSpec read(JsonNode body) throws BadMessageException {
+        String id = Json.text(body, "nameId");
+        if (!isId(id)) {
+            throw new BadMessageException("nameId is not of the form j-000412");
+        }
+        if (!Json.text(body, "shape").equals("sweep")) {
+            throw new BadMessageException("shape is not known");
+        }
+        long tasks = Json.whole(body, "parts");
+        if (tasks < 1 || tasks > MAX_TASKS) {
+            throw new BadMessageException("parts is out of range");
+        }
+        OptionalDouble deadline =
+                body.hasNonNull("dueS") ? OptionalDouble.of(positive(body, "dueS")) : OptionalDouble.empty();
+        String zone = body.hasNonNull("grove") ? name(body, "grove") : null;
+        return new JobSpec(
+                id,
+                name(body, "lot"),
+                name(body, "crew"),
+                rank(Json.text(body, "rank")),
+                (int) tasks,
+                new Room(positive(body, "cpus"), notNegative(body, "accelerators"), positive(body, "memGb")),
+                types(body),
+                Optional.ofNullable(zone),
+                Json.flag(body, "samePlace"),
+                Json.flag(body, "scatter"),
+                Json.flag(body, "windfall"),
+                name(body, "bundle"),
+                notNegative(body, "pullGb"),
+                positive(body, "expectS"),
+                notNegative(body, "markEveryS"),
+                notNegative(body, "markS"),
+                deadline);
+    }
+
+    public static ObjectNode write(JobSpec spec) {
+        ObjectNode out = Json.object()
+                .put("nameId", spec.id())
+                .put("lot", spec.jobClass())
+                .put("crew", spec.team())
+                .put("shape", "sweep")
+                .put("rank", rank(spec.rank()))
+                .put("parts", spec.tasks())
+                .put("cpus", spec.task().cpus())
+                .put("accelerators", spec.task().gpus())
+                .put("memGb", spec.task().memGb())
+                .put("bundle", spec.image())
+                .put("pullGb", spec.imageGb())
+                .put("samePlace", spec.oneZone())
+                .put("scatter", spec.spread())
+                .put("windfall", spec.spot())
+                .put("expectS", spec.estimateS())
+                .put("markEveryS", spec.checkpointS())
+                .put("markS", spec.saveS());
+        spec.types().ifPresent(types -> types.forEach(out.putArray("builds")::add));
+        spec.zone().ifPresent(zone -> out.put("grove", zone));
+        spec.deadlineS().ifPresent(due -> out.put("dueS", due));
+        return out;
+    }
+
+    private static Optional<ImmutableSet<String>> types(JsonNode body) throws BadMessageException {
+        if (!body.hasNonNull("builds")) {
+            return Optional.empty();
+        }
+        ImmutableSet.Builder<String> out = ImmutableSet.builder();
+        for (JsonNode item : Json.list(body, "builds")) {
+            if (!item.isTextual()) {
+                throw new BadMessageException("builds holds something that is not a text");
+            }
+            out.add(item.textValue());
+        }
+        return Optional.of(out.build());
+    }
+
+    private static String name(JsonNode body, String field) throws BadMessageException {
+        String text = Json.text(body, field);
+        if (text.isEmpty() || text.length() > MAX_NAME) {
+            throw new BadMessageException(field + " is empty or too long");
+        }
+        return text;
+    }
+
+    private static double positive(JsonNode body, String field) throws BadMessageException {
+        double value = Json.number(body, field);
+        if (value <= 0) {
+            throw new BadMessageException(field + " must be above 0");
+        }
+        return value;
+    }
+
+    private static double notNegative(JsonNode body, String field) throws BadMessageException {
+        double value = Json.number(body, field);
+        if (value < 0) {
+            throw new BadMessageException(field + " must not be below 0");
+        }
+        return value;
+    }
+
+    private static Rank rank(String text) throws BadMessageException {
+        return switch (text) {
+            case "production" -> Rank.PRODUCTION;
+            case "high" -> Rank.HIGH;
+            case "normal" -> Rank.NORMAL;
+            case "best_effort" -> Rank.LOW;
+            default -> throw new BadMessageException("rank is not known");
+        };
+    }
+
+    private static String rank(Rank rank) {
+        return switch (rank) {
+            case PRODUCTION -> "production";
+            case HIGH -> "high";
+            case NORMAL -> "normal";
+            case LOW -> "best_effort";
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spruceridge/schedule/Plan.java
@@ -0,0 +1,19 @@
+package org.spruceridge.schedule;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import org.spruceridge.cluster.Binding;
+import org.spruceridge.cluster.Job;
+import org.spruceridge.cluster.Machine;
+
+/**
+ * What a round decided.
+ *
+ * @param unplaced tasks of each job for which only room was lacking, the most urgent job first
+ */
+public record Plan(
+        ImmutableList<Placement> placements, ImmutableList<Binding> stops, ImmutableMap<Job, Integer> unplaced) {
+
+    /** A waiting task to be bound to a machine. */
+    public record Placement(Job job, int index, Machine machine) {}
+}
--- /dev/null
+++ b/src/main/java/org/spruceridge/state/Change.java
@@ -0,0 +1,10 @@
+package org.spruceridge.state;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/** One change seen by a watch; a null value means that the key was dropped. */
+public record Change(String key, JsonNode value, long stamp) {
+    public boolean dropped() {
+        return value == null;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spruceridge/state/Listing.java
@@ -0,0 +1,6 @@
+package org.spruceridge.state;
+
+import com.google.common.collect.ImmutableList;
+
+/** All entries under a prefix; every change after {@code revision} may be missing from them. */
+public record Listing(ImmutableList<Entry> entries, long revision) {}
--- /dev/null
+++ b/src/main/java/org/spruceridge/state/Result.java
@@ -0,0 +1,27 @@
+package org.spruceridge.state;
+
+/** What came of a read or a call on a grant. */
+public record Result<T>(Kind kind, T value) {
+    /** How it ended. */
+    public enum Kind {
+        OK,
+        /** There is no such key or grant. */
+        MISSING,
+        /** The revision asked for is too old. */
+        TOO_OLD,
+        /** Refused, or no answer: nothing is known. */
+        UNAVAILABLE
+    }
+
+    public static <T> Result<T> ok(T value) {
+        return new Result<>(Kind.OK, value);
+    }
+
+    public static <T> Result<T> failed(Kind kind) {
+        return new Result<>(kind, null);
+    }
+
+    public boolean isOk() {
+        return kind == Kind.OK;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spruceridge/state/StateClient.java
@@ -0,0 +1,265 @@
+package org.spruceridge.state;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.spruceridge.config.Address;
+import org.spruceridge.net.BadMessageException;
+import org.spruceridge.net.Budget;
+import org.spruceridge.net.Budget.Rank;
+import org.spruceridge.net.Cancellable;
+import org.spruceridge.net.HttpAnswer;
+import org.spruceridge.net.HttpCall;
+import org.spruceridge.net.HttpClient;
+import org.spruceridge.net.Json;
+import org.spruceridge.net.Loop;
+import org.spruceridge.net.Oddities;
+import org.spruceridge.net.Times;
+
+/** The state service's protocol with typed messages, within this node's share of its limits. */
+public final class StateClient {
+    private static final Logger LOG = LoggerFactory.getLogger(StateClient.class);
+    private static final int PAGE = 500;
+    /** Responses usually take under 10 ms and occasionally a few hundred. */
+    private static final long PATIENCE = Times.millis(1000);
+    /** A watch may answer this much after the time that it was asked to wait. */
+    private static final long WATCH_SLACK = Times.nanos(5);
+
+    private final Loop loop;
+    private final HttpClient http;
+    private final Address address;
+    private final Budget budget;
+    private final Oddities oddities;
+    private long lastServed;
+    private boolean everServed;
+
+    public StateClient(Loop loop, HttpClient http, Address address, Budget budget, Oddities oddities) {
+        this.loop = loop;
+        this.http = http;
+        this.address = address;
+        this.budget = budget;
+        this.oddities = oddities;
+        this.lastServed = loop.nanos();
+    }
+
+    /** Nanoseconds since the service last carried out or judged a request of ours. */
+    public long sinceServed() {
+        return loop.nanos() - lastServed;
+    }
+
+    /** True once the service has answered at all. */
+    public boolean everServed() {
+        return everServed;
+    }
+
+    public void get(String key, Rank rank, Consumer<Result<Entry>> done) {
+        send(rank, 0, HttpCall.get("/store/" + key), PATIENCE, answer -> done.accept(readEntry(key, answer)));
+    }
+
+    /** Reads all keys under a prefix, page by page. */
+    public void list(String prefix, Rank rank, Consumer<Result<Listing>> done) {
+        listPage(prefix, rank, "", new ArrayList<>(), Long.MAX_VALUE, done);
+    }
+
+    private void listPage(
+            String prefix, Rank rank, String from, List<Entry> sofar, long revision, Consumer<Result<Listing>> done) {
+        String target = "/store?starts=" + prefix + (from.isEmpty() ? "" : "&from=" + from) + "&limit=" + PAGE;
+        send(rank, 0, HttpCall.get(target), PATIENCE, answer -> {
+            if (answer.status() != 200) {
+                done.accept(Result.failed(Result.Kind.UNAVAILABLE));
+                return;
+            }
+            try {
+                JsonNode body = Json.object(answer.body());
+                for (JsonNode item : Json.list(body, "entries")) {
+                    sofar.add(new Entry(Json.text(item, "k"), item.path("v"), Json.whole(item, "stamp")));
+                }
+                long first = Math.min(revision, Json.whole(body, "ring"));
+                if (body.path("truncated").asBoolean() && !sofar.isEmpty()) {
+                    listPage(prefix, rank, sofar.get(sofar.size() - 1).key(), sofar, first, done);
+                } else {
+                    done.accept(Result.ok(new Listing(ImmutableList.copyOf(sofar), first)));
+                }
+            } catch (BadMessageException e) {
+                unreadable(e);
+                done.accept(Result.failed(Result.Kind.UNAVAILABLE));
+            }
+        });
+    }
+
+    public void commit(Transaction txn, Rank rank, Consumer<TxnResult> done) {
+        send(rank, txn.changeCount(), HttpCall.post("/txn", txn.body()), PATIENCE, answer -> {
+            TxnResult result = readTxn(answer);
+            if (result.kind() == TxnResult.Kind.REJECTED) {
+                LOG.error("the state service calls a transaction malformed: {}", new String(answer.body()));
+            }
+            done.accept(result);
+        });
+    }
+
+    /** Asks for a grant of this time to live. */
+    public void grant(long ttlMillis, Consumer<Result<Long>> done) {
+        byte[] body = Json.bytes(Json.object().put("ttlMs", ttlMillis));
+        send(Rank.RENEWAL, 0, HttpCall.post("/grants", body), PATIENCE, answer -> {
+            if (answer.status() != 200) {
+                done.accept(Result.failed(Result.Kind.UNAVAILABLE));
+                return;
+            }
+            try {
+                done.accept(Result.ok(Json.whole(Json.object(answer.body()), "permit")));
+            } catch (BadMessageException e) {
+                unreadable(e);
+                done.accept(Result.failed(Result.Kind.UNAVAILABLE));
+            }
+        });
+    }
+
+    /** Renews a grant; MISSING means that it has ended. The answer carries the moment at which the call was sent. */
+    public void renew(long permit, long patience, Consumer<Result<Long>> done) {
+        HttpCall call = HttpCall.post("/grants/" + permit + "/renew", new byte[0]);
+        long[] sent = new long[1];
+        submit(Rank.RENEWAL, 0, done, () -> {
+            sent[0] = loop.nanos();
+            http.call(address, call, patience, served(answer -> {
+                if (answer.status() == 200) {
+                    done.accept(Result.ok(sent[0]));
+                } else {
+                    done.accept(Result.failed(answer.status() == 404 ? Result.Kind.MISSING : Result.Kind.UNAVAILABLE));
+                }
+            }));
+        });
+    }
+
+    /** Ends a grant, and with it the keys attached to it; nothing depends on whether it works. */
+    public void endGrant(long permit) {
+        send(Rank.RENEWAL, 0, new HttpCall("DELETE", "/grants/" + permit, new byte[0]), PATIENCE, answer -> {});
+    }
+
+    /** Waits for changes after a revision. */
+    public Cancellable follow(String prefix, long from, double blockS, Consumer<Result<Changes>> done) {
+        long blockMs = (long) (blockS * 1000);
+        String target = "/follow?starts=" + prefix + "&from=" + from + "&blockMs=" + blockMs;
+        CancelLater later = new CancelLater();
+        boolean taken = budget.submit(Rank.REPORTS, 0, () -> {
+            if (!later.cancelled) {
+                later.call = http.call(
+                        address,
+                        HttpCall.get(target),
+                        Times.millis(blockMs) + WATCH_SLACK,
+                        served(answer -> done.accept(readChanges(answer))));
+            }
+        });
+        if (!taken) {
+            loop.after(PATIENCE, () -> done.accept(Result.failed(Result.Kind.UNAVAILABLE)));
+        }
+        return later;
+    }
+
+    private static final class CancelLater implements Cancellable {
+        private boolean cancelled;
+        private Cancellable call;
+
+        @Override
+        public void cancel() {
+            cancelled = true;
+            if (call != null) {
+                call.cancel();
+            }
+        }
+    }
+
+    private void send(Rank rank, int changes, HttpCall call, long patience, Consumer<HttpAnswer> done) {
+        boolean taken = budget.submit(rank, changes, () -> http.call(address, call, patience, served(done)));
+        if (!taken) {
+            done.accept(new HttpAnswer(429, new byte[0])); // as good as refused: it was never sent
+        }
+    }
+
+    private <T> void submit(Rank rank, int changes, Consumer<Result<T>> done, Runnable work) {
+        if (!budget.submit(rank, changes, work)) {
+            done.accept(Result.failed(Result.Kind.UNAVAILABLE));
+        }
+    }
+
+    private Consumer<HttpAnswer> served(Consumer<HttpAnswer> done) {
+        return answer -> {
+            if (answer.answered() && answer.status() != 503) {
+                lastServed = loop.nanos();
+                everServed = true;
+            }
+            done.accept(answer);
+        };
+    }
+
+    private Result<Entry> readEntry(String key, HttpAnswer answer) {
+        if (answer.status() == 404) {
+            return Result.failed(Result.Kind.MISSING);
+        }
+        if (answer.status() != 200) {
+            return Result.failed(Result.Kind.UNAVAILABLE);
+        }
+        try {
+            JsonNode body = Json.object(answer.body());
+            return Result.ok(new Entry(key, body.path("v"), Json.whole(body, "stamp")));
+        } catch (BadMessageException e) {
+            unreadable(e);
+            return Result.failed(Result.Kind.UNAVAILABLE);
+        }
+    }
+
+    private TxnResult readTxn(HttpAnswer answer) {
+        try {
+            switch (answer.status()) {
+                case 200:
+                    return new TxnResult(
+                            TxnResult.Kind.COMMITTED,
+                            Json.whole(Json.object(answer.body()), "ring"),
+                            ImmutableList.of());
+                case 409:
+                    ImmutableList.Builder<String> failed = ImmutableList.builder();
+                    Json.list(Json.object(answer.body()), "failed").forEach(k -> failed.add(k.asText()));
+                    return new TxnResult(TxnResult.Kind.CONFLICT, 0, failed.build());
+                case 400:
+                    boolean noGrant = new String(answer.body()).contains("no such lease");
+                    return TxnResult.of(noGrant ? TxnResult.Kind.NO_GRANT : TxnResult.Kind.REJECTED);
+                case 429, 503:
+                    return TxnResult.of(TxnResult.Kind.REFUSED);
+                default:
+                    return TxnResult.of(TxnResult.Kind.UNKNOWN);
+            }
+        } catch (BadMessageException e) {
+            unreadable(e);
+            return TxnResult.of(TxnResult.Kind.UNKNOWN);
+        }
+    }
+
+    private Result<Changes> readChanges(HttpAnswer answer) {
+        if (answer.status() == 410) {
+            return Result.failed(Result.Kind.TOO_OLD);
+        }
+        if (answer.status() != 200) {
+            return Result.failed(Result.Kind.UNAVAILABLE);
+        }
+        try {
+            JsonNode body = Json.object(answer.body());
+            ImmutableList.Builder<Change> out = ImmutableList.builder();
+            for (JsonNode item : Json.list(body, "log")) {
+                boolean set = item.has("set");
+                String key = Json.text(item, set ? "set" : "drop");
+                out.add(new Change(key, set ? item.path("v") : null, Json.whole(item, "stamp")));
+            }
+            return Result.ok(new Changes(out.build(), Json.whole(body, "ring")));
+        } catch (BadMessageException e) {
+            unreadable(e);
+            return Result.failed(Result.Kind.UNAVAILABLE);
+        }
+    }
+
+    private void unreadable(BadMessageException e) {
+        oddities.note("unreadable answer of the state service", e.getMessage());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spruceridge/state/Transaction.java
@@ -0,0 +1,89 @@
+package org.spruceridge.state;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.spruceridge.net.Json;
+
+/** Guards and changes that hold or fail together. */
+public final class Transaction {
+    private final ImmutableMap<String, Long> guards;
+    private final ImmutableList<Op> ops;
+    private final byte[] body;
+
+    private record Op(String key, JsonNode value, long permit) {}
+
+    private Transaction(ImmutableMap<String, Long> guards, ImmutableList<Op> ops) {
+        this.guards = guards;
+        this.ops = ops;
+        this.body = Json.bytes(toJson());
+    }
+
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    byte[] body() {
+        return body;
+    }
+
+    public int changeCount() {
+        return ops.size();
+    }
+
+    private ObjectNode toJson() {
+        ObjectNode out = Json.object();
+        ArrayNode ifs = out.putArray("guards");
+        guards.forEach((key, stamp) -> ifs.addObject().put("k", key).put("stamp", stamp));
+        ArrayNode then = out.putArray("then");
+        for (Op op : ops) {
+            if (op.value == null) {
+                then.addObject().put("drop", op.key);
+            } else {
+                ObjectNode set = then.addObject().put("set", op.key);
+                set.set("v", op.value);
+                if (op.permit != 0) {
+                    set.put("permit", op.permit);
+                }
+            }
+        }
+        return out;
+    }
+
+    /** Collects guards and changes; every key that is changed must be guarded by its last stamp, 0 if it is new. */
+    public static final class Builder {
+        private final Map<String, Long> guards = new LinkedHashMap<>();
+        private final ImmutableList.Builder<Op> ops = ImmutableList.builder();
+
+        /** Requires that the key still has this stamp; 0 that it does not exist. */
+        public Builder guard(String key, long stamp) {
+            guards.put(key, stamp);
+            return this;
+        }
+
+        public Builder set(String key, long lastStamp, JsonNode value) {
+            return set(key, lastStamp, value, 0);
+        }
+
+        /** Sets a key that vanishes with the grant. */
+        public Builder set(String key, long lastStamp, JsonNode value, long permit) {
+            guard(key, lastStamp);
+            ops.add(new Op(key, value, permit));
+            return this;
+        }
+
+        public Builder drop(String key, long lastStamp) {
+            guard(key, lastStamp);
+            ops.add(new Op(key, null, 0));
+            return this;
+        }
+
+        public Transaction build() {
+            return new Transaction(ImmutableMap.copyOf(guards), ops.build());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spruceridge/state/TxnResult.java
@@ -0,0 +1,29 @@
+package org.spruceridge.state;
+
+import com.google.common.collect.ImmutableList;
+
+/** What came of a transaction. */
+public record TxnResult(Kind kind, long revision, ImmutableList<String> failed) {
+    /** How it ended. */
+    public enum Kind {
+        COMMITTED,
+        /** A guard did not hold; {@link TxnResult#failed} names its keys. */
+        CONFLICT,
+        /** The grant that a key should hang on is gone. */
+        NO_GRANT,
+        /** Certainly not carried out, and not to be sent again: the service calls it malformed. */
+        REJECTED,
+        /** Certainly not carried out, now. */
+        REFUSED,
+        /** It may have been carried out, or may yet be. */
+        UNKNOWN
+    }
+
+    public static TxnResult of(Kind kind) {
+        return new TxnResult(kind, 0, ImmutableList.of());
+    }
+
+    public boolean committed() {
+        return kind == Kind.COMMITTED;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spruceridge/worker/Order.java
@@ -0,0 +1,61 @@
+package org.spruceridge.worker;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import org.spruceridge.cluster.TaskId;
+import org.spruceridge.net.Json;
+import org.spruceridge.net.Response;
+
+/** A command to a worker. */
+public record Order(Verb verb, TaskId task, long attempt, double graceS) {
+    /** What the worker is to do. */
+    public enum Verb {
+        START("start"),
+        STOP("halt"),
+        FORGET("forget");
+
+        private final String wire;
+
+        Verb(String wire) {
+            this.wire = wire;
+        }
+    }
+
+    public static Order start(TaskId task, long attempt) {
+        return new Order(Verb.START, task, attempt, 0);
+    }
+
+    public static Order stop(TaskId task, long attempt, double graceS) {
+        return new Order(Verb.STOP, task, attempt, graceS);
+    }
+
+    public static Order forget(TaskId task, long attempt) {
+        return new Order(Verb.FORGET, task, attempt, 0);
+    }
+
+    /** The answer to a report: the token and the commands. */
+    public static Response answer(long token, List<Order> orders) {
+        ObjectNode body = Json.object().put("warrant", token);
+        ArrayNode list = body.putArray("orders");
+        for (Order order : orders) {
+            ObjectNode node = list.addObject()
+                    .put("verb", order.verb.wire)
+                    .put("part", order.task.toString())
+                    .put("try", order.attempt);
+            if (order.verb == Verb.STOP) {
+                node.put("leewayS", order.graceS);
+            }
+        }
+        return Response.of(200, body);
+    }
+
+    /** Sends a worker to another node; with no name it tries the next one. */
+    public static Response elsewhere(String leader) {
+        ObjectNode body = Json.object();
+        if (leader != null) {
+            body.put("steward", leader);
+        }
+        return Response.of(421, body);
+    }
+}
