--- a/src/main/java/org/spruceridge/schedule/Matching.java
+++ b/src/main/java/org/spruceridge/schedule/Matching.java
@@ -5,10 +5,12 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.spruceridge.cluster.Binding;
 import org.spruceridge.cluster.Cluster;
 import org.spruceridge.cluster.Job;
@@ -202,7 +204,8 @@
 
         /** Stops running tasks for waiting ones of a higher rank that would otherwise miss their deadline. */
         private final class Stopping {
-            private final Map<Machine, Room> coming = new HashMap<>();
+            private final Map<Machine, Room> coming = new LinkedHashMap<>();
+            private final Set<Machine> stopping = new HashSet<>();
 
             List<Binding> run(List<PriorityMatrix.Entry> entries) {
                 for (Machine m : free.keySet()) {
@@ -242,13 +245,18 @@
                 victim.ifPresent(b -> {
                     Machine m = b.machine();
                     stops.add(b);
+                    stopping.add(m);
                     coming.computeIfPresent(
                             m, (k, room) -> room.plus(b.job().spec().task()).minus(task));
                 });
                 return victim.isPresent();
             }
 
+            /** One stop per machine and period, those of this round counted. */
             private boolean mayStop(Machine m) {
+                if (stopping.contains(m)) {
+                    return false;
+                }
                 boolean recent = m.lastStop() != Long.MIN_VALUE
                         && (now - m.lastStop()) / 1e9 < policy.stops().perMachineS();
                 return !recent;
--- /dev/null
+++ b/src/test/java/org/spruceridge/config/SettingsTest.java
@@ -0,0 +1,96 @@
+package org.spruceridge.config;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** What is read from the settings, and what is said of wrong ones. */
+final class SettingsTest {
+    private static final String GOOD =
+            """
+            {"host_name":"n0","domain":"a","serve_on":"10.0.0.1:8080","peer_listen":"10.0.0.1:8081","new":1,
+             "members":[{"host_name":"n1","domain":"b","peer_addr":"10.0.0.2:8081","colour":"red"}],
+             "endpoints":{"cloud":"10.2.0.2:8443","state":"10.2.0.1:2379"},
+             "facts":{"zones":["a","b"],"teams":[{"name":"red","cpus":4.0,"cpus_max":0.0}],
+              "objectives":[{"kind":"wait","class":"c","within_s":5.0,"share":0.9},{"kind":"unheard-of"}],
+              "workers":{"report_s":3.0,"lease_s":22.0,"cancel_s":42.0},
+              "state":{"rps":200.0,"write_rps":50.0,"value_kb":8.0,"txn_ops":24},
+              "cloud":{"rps":6.0,"list_lag_s":10.0},
+              "resources":{"core_share":0.25,"mem_mb":263.0,"max_sockets":3000},"time_bound_ms":25.0}}
+            """;
+
+    @TempDir
+    private Path folder;
+
+    private static JsonNode json(String text) throws IOException {
+        return new ObjectMapper().readTree(text);
+    }
+
+    private Policy policy(String yaml) throws IOException {
+        return Policy.load(Files.writeString(folder.resolve("policy.yaml"), yaml));
+    }
+
+    @Test
+    void unknownFieldsOfThePlatformAreIgnored() throws IOException {
+        Settings settings = Settings.read(json(GOOD));
+        assertEquals(2, settings.nodeCount());
+        assertEquals(22, settings.workers().leaseS());
+        assertEquals(new Address("10.2.0.1", 2379), settings.stateAddress());
+        assertEquals(4, settings.teams().get("red").cpus());
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = ';',
+            value = {
+                "\"host_name\":\"n0\"; \"host_name\":7; host_name is not a text",
+                "\"serve_on\":\"10.0.0.1:8080\"; \"serve_on\":\"here\"; serve_on is not an address of the form host:port: here",
+                "\"report_s\":3.0; \"report_s\":0; facts.workers.report_s must be above 0",
+                "\"lease_s\":22.0; \"lease_s\":2; facts.workers.lease_s must be above report_s",
+                "\"txn_ops\":24; \"txn_ops\":1.5; facts.state.txn_ops must be a whole number above 0",
+                "\"rps\":6.0; \"rpm\":6.0; facts.cloud.rps is missing",
+                "\"peer_addr\":\"10.0.0.2:8081\"; \"at\":1; members[0].peer_addr is missing",
+                "\"zones\":[\"a\",\"b\"]; \"zones\":[1]; facts.zones must hold texts only",
+            })
+    void aComplaintNamesTheField(String from, String to, String complaint) throws IOException {
+        JsonNode broken = json(GOOD.replace(from, to));
+        assertEquals(
+                complaint,
+                assertThrows(SettingsException.class, () -> Settings.read(broken))
+                        .getMessage());
+    }
+
+    @Test
+    void theShippedPolicyIsWhatTheProgramStartsWith() {
+        assertEquals(Policy.defaults(), Policy.load(Path.of("deploy/spruceridge.yaml")));
+    }
+
+    @Test
+    void aPolicyMayLeaveThingsOutButNotInventThem() throws IOException {
+        assertEquals(20, policy("weights: {deadline: 20}\n").weights().deadline());
+        assertEquals(Policy.defaults(), policy(""));
+        assertComplaint("weights.speed is not a known field", "weights: {speed: 1}\n");
+        assertComplaint("colour is not a known field", "colour: red\n");
+        assertComplaint("rounds.spacing_s must be above 0", "rounds: {spacing_s: -1}\n");
+        assertComplaint("leading.ttl_of_lease must not be above 0.5", "leading: {ttl_of_lease: 0.9}\n");
+        assertTrue(assertThrows(SettingsException.class, () -> policy("{ a"))
+                .getMessage()
+                .startsWith("not YAML"));
+    }
+
+    private void assertComplaint(String complaint, String yaml) {
+        assertEquals(
+                complaint,
+                assertThrows(SettingsException.class, () -> policy(yaml)).getMessage());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/spruceridge/schedule/HeuristicsTest.java
@@ -0,0 +1,111 @@
+package org.spruceridge.schedule;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.google.common.collect.ImmutableList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.spruceridge.cluster.Job;
+import org.spruceridge.cluster.JobSpec;
+import org.spruceridge.cluster.Machine;
+import org.spruceridge.cluster.Rank;
+import org.spruceridge.cluster.Room;
+import org.spruceridge.config.Policy;
+
+/** The document's equations against values worked out by hand. */
+final class HeuristicsTest {
+    private static final Machine MACHINE = new Machine("i-1", "", "t", "z", false, 0, 0);
+
+    static Job job(int number, double estimateS, OptionalDouble deadlineS) {
+        return new Job(
+                new JobSpec(
+                        "j-" + number,
+                        "c",
+                        "red",
+                        Rank.NORMAL,
+                        4,
+                        new Room(2, 0, 1),
+                        Optional.empty(),
+                        Optional.empty(),
+                        false,
+                        false,
+                        true,
+                        "img",
+                        1,
+                        estimateS,
+                        0,
+                        0,
+                        deadlineS),
+                1,
+                0);
+    }
+
+    // Equations 4 and 5. With 100 s of slack and 40 s to run, the last start is 60 s away and the end 40 s: 0.
+    // With 60 s: last 20, end 40, (40 - 20) / 40 = 0.5. With 40 s: last 0, end 40, 40 / 40 = 1. With 39: over, 1.
+    @ParameterizedTest
+    @CsvSource({"100, 40, 0", "80, 40, 0", "60, 40, 0.5", "50, 40, 0.75", "40, 40, 1", "39, 40, 1", "-5, 10, 1"})
+    void urgency(double slackS, double remainingS, double expected) {
+        assertEquals(expected, Deadline.urgency(slackS, remainingS), 1e-9);
+    }
+
+    // Equation 6, divided by its weight: (1 - f) * F, with F of equation 7 handed in.
+    @ParameterizedTest
+    @CsvSource({"60, 40, 0.5, 0.25", "100, 40, 0.4, 0.4", "39, 40, 1, 0", "50, 40, 0.75, 0.1875"})
+    void deadline(double slackS, double remainingS, double meanUrgency, double expected) {
+        Candidate c = new Candidate(job(1, 40, OptionalDouble.of(100)), 0, 0, slackS);
+        Heuristic.Row row = new Heuristic.Row(c, meanUrgency, 100);
+        assertEquals(expected, new Deadline().value(row, MACHINE, remainingS), 1e-9);
+    }
+
+    // Equation 8: elapsed / max(remaining, elapsed).
+    @ParameterizedTest
+    @CsvSource({"0, 40, 0", "10, 40, 0.25", "40, 40, 1", "90, 10, 1"})
+    void overhead(double elapsedS, double remainingS, double expected) {
+        Candidate c = new Candidate(job(1, 50, OptionalDouble.empty()), elapsedS, 0, 0);
+        assertEquals(expected, new Overhead().value(new Heuristic.Row(c, 0, 100), MACHINE, remainingS), 1e-9);
+    }
+
+    // Equation 12: 1 - remaining / longest remaining.
+    @ParameterizedTest
+    @CsvSource({"10, 100, 0.9", "100, 100, 0", "25, 100, 0.75"})
+    void waiting(double remainingS, double longestS, double expected) {
+        Candidate c = new Candidate(job(1, 50, OptionalDouble.empty()), 0, 0, 0);
+        assertEquals(expected, new Wait().value(new Heuristic.Row(c, 0, longestS), MACHINE, remainingS), 1e-9);
+    }
+
+    // Equation 13: age / (age + remaining).
+    @ParameterizedTest
+    @CsvSource({"0, 40, 0", "40, 40, 0.5", "120, 40, 0.75"})
+    void aging(double ageS, double remainingS, double expected) {
+        Candidate c = new Candidate(job(1, 50, OptionalDouble.empty()), 0, ageS, 0);
+        assertEquals(expected, new Aging().value(new Heuristic.Row(c, 0, 100), MACHINE, remainingS), 1e-9);
+    }
+
+    @Test
+    void remainingTimeIsFlooredAtTenSeconds() {
+        Estimates estimates = new Estimates(10);
+        Job job = job(1, 40, OptionalDouble.empty());
+        assertEquals(40, estimates.remainingS(new Candidate(job, 0, 0, 0), MACHINE));
+        assertEquals(15, estimates.remainingS(new Candidate(job, 25, 0, 0), MACHINE));
+        assertEquals(10, estimates.remainingS(new Candidate(job, 35, 0, 0), MACHINE));
+        assertEquals(10, estimates.remainingS(new Candidate(job, 400, 0, 0), MACHINE));
+    }
+
+    @Test
+    void theSumOfAllTermsWithTheDocumentsWeights() {
+        // One waits with 60 s of slack, 40 s to run and an age of 40 s; one of 80 s to run makes the longest.
+        Candidate pressing = new Candidate(job(1, 40, OptionalDouble.of(100)), 0, 40, 60);
+        Candidate longer = new Candidate(job(2, 80, OptionalDouble.empty()), 0, 20, Double.POSITIVE_INFINITY);
+        List<PriorityMatrix.Entry> entries = new PriorityMatrix(
+                        Policy.defaults().weights(), new Estimates(10))
+                .entries(ImmutableList.of(pressing, longer), ImmutableList.of(MACHINE), (c, m) -> true);
+        // 15 * (1 - 0.5) * 0.5 + 40 * 0 + 8 * (1 - 40 / 80) + 5 * 40 / (40 + 40) = 3.75 + 4 + 2.5
+        assertEquals(10.25, entries.get(0).score(), 1e-9);
+        // 15 * 0 + 40 * 0 + 8 * (1 - 80 / 80) + 5 * 20 / (20 + 80) = 1
+        assertEquals(1.0, entries.get(1).score(), 1e-9);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/spruceridge/schedule/MatchingTest.java
@@ -0,0 +1,268 @@
+package org.spruceridge.schedule;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.spruceridge.cluster.Binding;
+import org.spruceridge.cluster.Cluster;
+import org.spruceridge.cluster.Job;
+import org.spruceridge.cluster.JobSpec;
+import org.spruceridge.cluster.Machine;
+import org.spruceridge.cluster.MachineType;
+import org.spruceridge.cluster.Rank;
+import org.spruceridge.cluster.Room;
+import org.spruceridge.config.Address;
+import org.spruceridge.config.Policy;
+import org.spruceridge.config.Settings;
+
+/** What the matching binds, and what it must not. */
+final class MatchingTest {
+    private static final long NOW = 1_000_000_000_000L;
+    private static final long WALL = 1_000_000;
+    private static final Address HERE = new Address("10.0.0.1", 1);
+
+    private final Cluster cluster = new Cluster();
+    private final Settings settings = new Settings(
+            "n0",
+            "a",
+            HERE,
+            HERE,
+            ImmutableList.of(),
+            HERE,
+            HERE,
+            ImmutableList.of("a", "b"),
+            ImmutableMap.of(
+                    "red", new Settings.Team("red", 0, 0, 0, 0),
+                    "blue", new Settings.Team("blue", 4, 12, 0, 0)),
+            ImmutableList.of(),
+            new Settings.Workers(2, 14, 30),
+            new Settings.State(100, 100, 4, 12),
+            new Settings.Cloud(4, 2),
+            new Settings.Resources(1, 100, 100),
+            0);
+    private final Matching matching = new Matching(settings, Policy.defaults(), 50);
+    private int jobs;
+
+    @BeforeEach
+    void catalogue() {
+        cluster.types(ImmutableMap.of(
+                "t8", new MachineType("t8", new Room(8, 0, 32), 1, 1, 0.3, 20, ImmutableList.of("a", "b"))));
+    }
+
+    private Machine machine(String name, String zone, boolean spot) {
+        Machine m = new Machine(name, "", "t8", zone, spot, NOW, NOW);
+        m.heard(1, 1, "", NOW);
+        m.fence();
+        cluster.add(m);
+        return m;
+    }
+
+    private final class JobMaker {
+        private String team = "red";
+        private Rank rank = Rank.NORMAL;
+        private int tasks = 1;
+        private double cpus = 4;
+        private Optional<ImmutableSet<String>> types = Optional.empty();
+        private Optional<String> zone = Optional.empty();
+        private boolean oneZone;
+        private boolean spread;
+        private boolean spot = true;
+        private double estimateS = 30;
+        private double checkpointS;
+        private OptionalDouble deadlineS = OptionalDouble.empty();
+
+        Job add() {
+            Job job = new Job(
+                    new JobSpec(
+                            "j-" + (++jobs),
+                            "c",
+                            team,
+                            rank,
+                            tasks,
+                            new Room(cpus, 0, 1),
+                            types,
+                            zone,
+                            oneZone,
+                            spread,
+                            spot,
+                            "img",
+                            1,
+                            estimateS,
+                            checkpointS,
+                            1,
+                            deadlineS),
+                    1,
+                    WALL);
+            cluster.add(job);
+            return job;
+        }
+    }
+
+    private JobMaker job() {
+        return new JobMaker();
+    }
+
+    private Plan plan() {
+        return matching.plan(cluster, NOW, WALL);
+    }
+
+    private static List<String> machines(Plan plan) {
+        return plan.placements().stream().map(p -> p.machine().name()).toList();
+    }
+
+    private Binding running(Job job, int index, Machine m) {
+        Binding b = new Binding(job, index, 1, m, Binding.Stage.COMMITTED, NOW);
+        b.phase(Binding.Phase.RUNNING, NOW);
+        cluster.bind(b);
+        return b;
+    }
+
+    @Test
+    void tiesGoToTheFullerMachine() {
+        machine("empty", "a", false);
+        Machine fuller = machine("fuller", "a", false);
+        running(job().add(), 0, fuller);
+        job().add();
+        assertEquals(List.of("fuller"), machines(plan()));
+    }
+
+    @Test
+    void nothingIsBoundBeyondAMachinesRoom() {
+        machine("m", "a", false);
+        JobMaker many = job();
+        many.tasks = 5;
+        Job job = many.add();
+        Plan plan = plan();
+        assertEquals(2, plan.placements().size());
+        assertEquals(3, plan.unplaced().get(job));
+    }
+
+    @Test
+    void theTeamsLimitCountsEveryBinding() {
+        Machine a = machine("a", "a", false);
+        machine("b", "a", false);
+        JobMaker limited = job();
+        limited.team = "blue";
+        limited.tasks = 6;
+        Job job = limited.add();
+        Binding leaving = running(job, 0, a);
+        leaving.stage(Binding.Stage.RELEASING); // until its release is on record it may still be there
+        Plan plan = plan();
+        assertEquals(2, plan.placements().size());
+        assertTrue(plan.unplaced().isEmpty(), "what the limit keeps back needs no machine");
+    }
+
+    @Test
+    void aJobStaysInItsZoneTypeAndKind() {
+        machine("spot", "a", true);
+        machine("wrong-zone", "b", false);
+        JobMaker picky = job();
+        picky.spot = false;
+        picky.zone = Optional.of("a");
+        picky.tasks = 2;
+        picky.add();
+        assertEquals(List.of(), machines(plan()));
+        machine("right", "a", false);
+        assertEquals(List.of("right", "right"), machines(plan()));
+        JobMaker otherType = job();
+        otherType.types = Optional.of(ImmutableSet.of("t9"));
+        Job never = otherType.add();
+        assertTrue(plan().placements().stream().noneMatch(p -> p.job() == never));
+    }
+
+    @Test
+    void oneZoneFollowsTheTasksThatAreBound() {
+        Machine first = machine("in-b", "b", false);
+        machine("in-a", "a", false);
+        JobMaker together = job();
+        together.oneZone = true;
+        together.tasks = 4;
+        Job job = together.add();
+        running(job, 0, first);
+        assertEquals(List.of("in-b"), machines(plan()));
+    }
+
+    @Test
+    void spreadPutsAtMostHalfInAZone() {
+        machine("a1", "a", false);
+        machine("a2", "a", false);
+        machine("b1", "b", false);
+        JobMaker apart = job();
+        apart.spread = true;
+        apart.tasks = 5;
+        apart.add();
+        List<String> used = machines(plan());
+        assertEquals(3, used.stream().filter(n -> n.startsWith("a")).count());
+        assertEquals(2, used.stream().filter(n -> n.startsWith("b")).count());
+    }
+
+    @Test
+    void onlyMachinesThatThisTermHeardAreUsed() {
+        Machine unheard = new Machine("unheard", "", "t8", "a", false, NOW, NOW);
+        cluster.add(unheard);
+        machine("returning", "a", false).returning(true);
+        machine("faulty", "a", false).suspect(true);
+        machine("noticed", "a", true).takenAt(NOW + 1);
+        job().add();
+        assertEquals(List.of(), machines(plan()));
+    }
+
+    @Test
+    void aPressingTaskStopsLowerWorkOncePerMachineAndMinute() {
+        Machine m = machine("m", "a", false);
+        JobMaker low = job();
+        low.rank = Rank.LOW;
+        low.tasks = 2;
+        Job victimJob = low.add();
+        running(victimJob, 0, m);
+        running(victimJob, 1, m);
+        JobMaker high = job();
+        high.rank = Rank.HIGH;
+        high.tasks = 2;
+        high.estimateS = 30;
+        high.deadlineS = OptionalDouble.of(40);
+        high.add();
+        Plan plan = plan();
+        assertEquals(1, plan.stops().size());
+        plan.stops().get(0).halt(Binding.Halt.SAVING);
+        m.lastStop(NOW);
+        assertEquals(0, plan().stops().size());
+    }
+
+    @Test
+    void workOfTheSameRankIsNeverStopped() {
+        Machine m = machine("m", "a", false);
+        JobMaker first = job();
+        first.tasks = 2;
+        Job running = first.add();
+        running(running, 0, m);
+        running(running, 1, m);
+        JobMaker pressing = job();
+        pressing.deadlineS = OptionalDouble.of(40);
+        pressing.add();
+        assertTrue(plan().stops().isEmpty());
+    }
+
+    @Test
+    void theHigherScoreIsServedFirst() {
+        machine("m", "a", false);
+        JobMaker shorter = job();
+        JobMaker longer = job();
+        longer.estimateS = 300;
+        longer.cpus = 8;
+        shorter.cpus = 8;
+        Job later = longer.add();
+        Job sooner = shorter.add();
+        Plan plan = plan();
+        assertEquals(sooner, plan.placements().get(0).job());
+        assertEquals(1, plan.unplaced().get(later));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/spruceridge/sim/SimCloud.java
@@ -0,0 +1,146 @@
+package org.spruceridge.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.spruceridge.net.BadMessageException;
+import org.spruceridge.net.HttpAnswer;
+import org.spruceridge.net.HttpCall;
+import org.spruceridge.net.Json;
+import org.spruceridge.net.Times;
+
+/** The cloud, written from its published protocol, with one machine type. */
+public final class SimCloud implements SimNet.Server {
+    private final World world;
+    private final Map<String, List<String>> claims = new HashMap<>();
+    private final TreeMap<String, Host> hosts = new TreeMap<>();
+    private int count;
+    private int capacity = Integer.MAX_VALUE;
+
+    private record Host(String zone, boolean spot, long rentedAt, SimWorker[] worker, String[] stage) {}
+
+    SimCloud(World world) {
+        this.world = world;
+    }
+
+    /** The most machines that can be rented at one time. */
+    public void capacity(int machines) {
+        capacity = machines;
+    }
+
+    /** Machines rented and not given back. */
+    public int rented() {
+        return hosts.size();
+    }
+
+    /** The workers that are up, in the order of their names. */
+    public List<SimWorker> workers() {
+        List<SimWorker> out = new ArrayList<>();
+        hosts.values().stream().filter(h -> h.worker[0] != null).forEach(h -> out.add(h.worker[0]));
+        return out;
+    }
+
+    /** Ends a machine as if it had lost power; the list shows it later. */
+    public void die(SimWorker worker) {
+        worker.kill();
+        Host host = hosts.get(worker.name());
+        world.loop.after(Times.nanos(30), () -> host.stage[0] = "failed");
+    }
+
+    @Override
+    public void accept(HttpCall call, Consumer<HttpAnswer> answer) {
+        try {
+            String path = call.target().split("\\?")[0];
+            if (path.equals("/flavors")) {
+                answer.accept(ok(catalogue()));
+            } else if (path.equals("/hosts/delete")) {
+                Json.list(Json.object(call.body()), "hosts").forEach(n -> remove(n.asText()));
+                answer.accept(ok(Json.object()));
+            } else if (call.method().equals("POST")) {
+                answer.accept(rent(Json.object(call.body())));
+            } else {
+                answer.accept(ok(list()));
+            }
+        } catch (BadMessageException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    private void remove(String name) {
+        Host host = hosts.remove(name);
+        if (host != null && host.worker[0] != null) {
+            host.worker[0].kill();
+        }
+    }
+
+    private HttpAnswer rent(JsonNode body) throws BadMessageException {
+        String claim = Json.text(body, "claim");
+        if (!claims.containsKey(claim)) {
+            int n = (int) Math.min(Json.whole(body, "howMany"), capacity - hosts.size());
+            if (n <= 0) {
+                return new HttpAnswer(503, Json.bytes(Json.object().put("error", "no capacity")));
+            }
+            List<String> names = new ArrayList<>();
+            for (int i = 0; i < n; i++) {
+                names.add(boot(Json.text(body, "grove"), Json.flag(body, "windfall")));
+            }
+            claims.put(claim, names);
+        }
+        ArrayNode names = Json.array();
+        claims.get(claim).forEach(names::add);
+        return ok(Json.object().set("hosts", names));
+    }
+
+    private String boot(String zone, boolean spot) {
+        String name = String.format("i-%06d", count++);
+        Host host = new Host(zone, spot, world.loop.nanos(), new SimWorker[1], new String[] {"booting"});
+        hosts.put(name, host);
+        world.loop.after(Times.nanos(World.BOOT_S), () -> {
+            if (hosts.containsKey(name)) {
+                host.worker[0] = new SimWorker(world, name, zone, spot);
+                host.stage[0] = "running";
+            }
+        });
+        return name;
+    }
+
+    private ObjectNode list() {
+        ObjectNode out = Json.object().put("truncated", false);
+        ArrayNode list = out.putArray("hosts");
+        hosts.forEach((name, h) -> list.addObject()
+                .put("nameId", name)
+                .put("endpoint", "10.1.0.1:9000")
+                .put("build", "t8")
+                .put("grove", h.zone)
+                .put("windfall", h.spot)
+                .put("stage", h.stage[0])
+                .put("heldS", Times.seconds(world.loop.nanos() - h.rentedAt)));
+        return out;
+    }
+
+    private static ObjectNode catalogue() {
+        ObjectNode out = Json.object();
+        ObjectNode type = out.putArray("builds").addObject();
+        type.put("name", "t8")
+                .put("cpus", 8)
+                .put("accelerators", 0)
+                .put("memGb", 32)
+                .put("localGb", 50)
+                .put("fetchGbPerS", 1.0)
+                .put("rate", 1.0)
+                .put("lowPrice", 0.3)
+                .put("startupS", World.BOOT_S);
+        type.putArray("groves").add("z1").add("z2");
+        return out;
+    }
+
+    private static HttpAnswer ok(JsonNode body) {
+        return new HttpAnswer(200, Json.bytes(body));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/spruceridge/sim/SimLoop.java
@@ -0,0 +1,82 @@
+package org.spruceridge.sim;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+import org.spruceridge.net.Cancellable;
+import org.spruceridge.net.Loop;
+import org.spruceridge.net.Times;
+
+/** Simulated time: tasks run in the order of their moments, and time passes only between them. */
+public final class SimLoop implements Loop {
+    private final PriorityQueue<Task> queue =
+            new PriorityQueue<>(Comparator.comparingLong(Task::at).thenComparingLong(Task::order));
+    private long now = Times.nanos(1000);
+    private long order;
+
+    private record Task(long at, long order, Runnable work) {}
+
+    @Override
+    public long nanos() {
+        return now;
+    }
+
+    @Override
+    public long wallMillis() {
+        return 1_700_000_000_000L + now / 1_000_000;
+    }
+
+    @Override
+    public Cancellable after(long delayNanos, Runnable work) {
+        Task task = new Task(now + Math.max(0, delayNanos), order++, work);
+        queue.add(task);
+        return () -> queue.remove(task);
+    }
+
+    /** Lets time pass. */
+    public void run(double seconds) {
+        long end = now + Times.nanos(seconds);
+        while (!queue.isEmpty() && queue.peek().at() <= end) {
+            Task task = queue.remove();
+            now = task.at();
+            task.work().run();
+        }
+        now = end;
+    }
+
+    /** This loop as one process has it: from its end on, nothing of it runs. */
+    public static final class Process implements Loop {
+        private final SimLoop loop;
+        private boolean dead;
+
+        Process(SimLoop loop) {
+            this.loop = loop;
+        }
+
+        void kill() {
+            dead = true;
+        }
+
+        boolean dead() {
+            return dead;
+        }
+
+        @Override
+        public long nanos() {
+            return loop.nanos();
+        }
+
+        @Override
+        public long wallMillis() {
+            return loop.wallMillis();
+        }
+
+        @Override
+        public Cancellable after(long delayNanos, Runnable work) {
+            return loop.after(delayNanos, () -> {
+                if (!dead) {
+                    work.run();
+                }
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/spruceridge/sim/SimState.java
@@ -0,0 +1,257 @@
+package org.spruceridge.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.spruceridge.net.BadMessageException;
+import org.spruceridge.net.HttpAnswer;
+import org.spruceridge.net.HttpCall;
+import org.spruceridge.net.Json;
+import org.spruceridge.net.Times;
+
+/** The state service, written from its published protocol. */
+public final class SimState implements SimNet.Server {
+    private final SimLoop loop;
+    private final int txnOps;
+    private final int pageSize;
+    private final TreeMap<String, Value> keys = new TreeMap<>();
+    private final Map<Long, Grant> grants = new HashMap<>();
+    private final List<ObjectNode> log = new ArrayList<>();
+    private final List<Watch> watches = new ArrayList<>();
+    private long revision = 1;
+    private long lastGrant;
+    private long outageUntil;
+
+    private record Value(JsonNode json, long stamp, long permit) {}
+
+    private static final class Grant {
+        private final long ttl;
+        private long until;
+
+        Grant(long ttl) {
+            this.ttl = ttl;
+        }
+    }
+
+    private record Watch(String prefix, long from, Consumer<HttpAnswer> answer, boolean[] over) {}
+
+    SimState(SimLoop loop, int txnOps, int pageSize) {
+        this.loop = loop;
+        this.txnOps = txnOps;
+        this.pageSize = pageSize;
+        expire();
+    }
+
+    /** Refuses everything for a while; grants get their full time back after it. */
+    public void outage(double seconds) {
+        outageUntil = loop.nanos() + Times.nanos(seconds);
+        loop.after(Times.nanos(seconds), () -> grants.values().forEach(g -> g.until = loop.nanos() + g.ttl));
+    }
+
+    /** The value of a key, or null. */
+    public JsonNode value(String key) {
+        return keys.containsKey(key) ? keys.get(key).json : null;
+    }
+
+    /** The keys under a prefix. */
+    public Set<String> keys(String prefix) {
+        return Set.copyOf(keys.subMap(prefix, prefix + '\uffff').keySet());
+    }
+
+    private boolean out() {
+        return loop.nanos() < outageUntil;
+    }
+
+    private void expire() {
+        if (!out()) {
+            for (long id : List.copyOf(grants.keySet())) {
+                if (grants.get(id).until < loop.nanos()) {
+                    end(id);
+                }
+            }
+        }
+        loop.after(Times.millis(20), this::expire);
+    }
+
+    private void end(long permit) {
+        grants.remove(permit);
+        for (String key : List.copyOf(keys.keySet())) {
+            if (keys.get(key).permit == permit) {
+                revision++;
+                drop(key);
+            }
+        }
+        wake();
+    }
+
+    @Override
+    public void accept(HttpCall call, Consumer<HttpAnswer> answer) {
+        if (out()) {
+            answer.accept(new HttpAnswer(503, new byte[0]));
+            return;
+        }
+        String path = call.target().split("\\?")[0];
+        try {
+            if (path.equals("/follow")) {
+                follow(call.target(), answer);
+            } else if (path.equals("/txn")) {
+                answer.accept(txn(Json.object(call.body())));
+            } else if (path.equals("/grants")) {
+                Grant grant = new Grant(Times.millis(Json.number(Json.object(call.body()), "ttlMs")));
+                grant.until = loop.nanos() + grant.ttl;
+                grants.put(++lastGrant, grant);
+                answer.accept(ok(Json.object().put("permit", lastGrant)));
+            } else if (path.startsWith("/grants/")) {
+                answer.accept(grant(call, Long.parseLong(path.split("/")[2])));
+            } else if (path.equals("/store")) {
+                answer.accept(list(call.target()));
+            } else {
+                answer.accept(get(path.substring("/store/".length())));
+            }
+        } catch (BadMessageException e) {
+            answer.accept(new HttpAnswer(400, e.getMessage().getBytes()));
+        }
+    }
+
+    private HttpAnswer grant(HttpCall call, long id) {
+        if (call.method().equals("DELETE")) {
+            end(id);
+            return ok(Json.object());
+        }
+        Grant grant = grants.get(id);
+        if (grant == null) {
+            return new HttpAnswer(404, "{}".getBytes());
+        }
+        grant.until = loop.nanos() + grant.ttl;
+        return ok(Json.object());
+    }
+
+    private HttpAnswer get(String key) {
+        Value value = keys.get(key);
+        return value == null
+                ? new HttpAnswer(404, Json.bytes(Json.object().put("ring", revision)))
+                : ok(entry(key, value));
+    }
+
+    private HttpAnswer list(String target) {
+        String prefix = query(target, "starts", "");
+        String from = query(target, "from", "");
+        int limit = Math.min(pageSize, Integer.parseInt(query(target, "limit", "1000")));
+        ObjectNode out = Json.object().put("ring", revision);
+        ArrayNode entries = out.putArray("entries");
+        boolean more = false;
+        for (var e : keys.subMap(prefix, prefix + '\uffff').entrySet()) {
+            if (e.getKey().compareTo(from) <= 0) {
+                continue;
+            }
+            if (entries.size() == limit) {
+                more = true;
+                break;
+            }
+            entries.add(entry(e.getKey(), e.getValue()));
+        }
+        return ok(out.put("truncated", more));
+    }
+
+    private HttpAnswer txn(JsonNode body) throws BadMessageException {
+        JsonNode ops = body.path("then");
+        if (ops.size() > txnOps || body.path("guards").size() > 4 * txnOps) {
+            throw new BadMessageException("too many");
+        }
+        for (JsonNode op : ops) {
+            if (op.has("permit") && !grants.containsKey(op.get("permit").asLong())) {
+                return new HttpAnswer(400, Json.bytes(Json.object().put("error", "no such lease")));
+            }
+        }
+        ArrayNode failed = Json.array();
+        for (JsonNode guard : Json.list(body, "guards")) {
+            Value value = keys.get(Json.text(guard, "k"));
+            if ((value == null ? 0 : value.stamp) != Json.whole(guard, "stamp")) {
+                failed.add(Json.text(guard, "k"));
+            }
+        }
+        if (!failed.isEmpty()) {
+            ObjectNode out = Json.object().put("ring", revision);
+            out.set("failed", failed);
+            return new HttpAnswer(409, Json.bytes(out));
+        }
+        revision++;
+        for (JsonNode op : ops) {
+            if (op.has("set")) {
+                String key = op.get("set").asText();
+                keys.put(key, new Value(op.get("v"), revision, op.path("permit").asLong()));
+                ObjectNode change = Json.object().put("set", key).put("stamp", revision);
+                change.set("v", op.get("v"));
+                log.add(change);
+            } else {
+                drop(op.get("drop").asText());
+            }
+        }
+        wake();
+        return ok(Json.object().put("ring", revision));
+    }
+
+    private void drop(String key) {
+        if (keys.remove(key) != null) {
+            log.add(Json.object().put("drop", key).put("stamp", revision));
+        }
+    }
+
+    private void follow(String target, Consumer<HttpAnswer> answer) {
+        Watch watch = new Watch(
+                query(target, "starts", ""), Long.parseLong(query(target, "from", "0")), answer, new boolean[1]);
+        watches.add(watch);
+        loop.after(Times.millis(Long.parseLong(query(target, "blockMs", "0"))), () -> answer(watch, true));
+        wake();
+    }
+
+    private void wake() {
+        List.copyOf(watches).forEach(w -> answer(w, false));
+    }
+
+    private void answer(Watch watch, boolean evenIfEmpty) {
+        ArrayNode changes = Json.array();
+        for (ObjectNode change : log) {
+            String key = change.path(change.has("set") ? "set" : "drop").asText();
+            if (change.get("stamp").asLong() > watch.from && key.startsWith(watch.prefix)) {
+                changes.add(change);
+            }
+        }
+        if (!watch.over[0] && (evenIfEmpty || !changes.isEmpty())) {
+            watch.over[0] = true;
+            watches.remove(watch);
+            ObjectNode out = Json.object().put("ring", revision);
+            out.set("log", changes);
+            watch.answer.accept(ok(out));
+        }
+    }
+
+    private static ObjectNode entry(String key, Value value) {
+        ObjectNode out = Json.object().put("k", key).put("stamp", value.stamp);
+        out.set("v", value.json);
+        return out;
+    }
+
+    private static HttpAnswer ok(JsonNode body) {
+        return new HttpAnswer(200, Json.bytes(body));
+    }
+
+    static String query(String target, String name, String fallback) {
+        int q = target.indexOf('?');
+        if (q >= 0) {
+            for (String pair : target.substring(q + 1).split("&")) {
+                if (pair.startsWith(name + "=")) {
+                    return pair.substring(name.length() + 1);
+                }
+            }
+        }
+        return fallback;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/spruceridge/sim/SimWorker.java
@@ -0,0 +1,246 @@
+package org.spruceridge.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.spruceridge.config.Address;
+import org.spruceridge.net.BadMessageException;
+import org.spruceridge.net.HttpAnswer;
+import org.spruceridge.net.HttpCall;
+import org.spruceridge.net.HttpClient;
+import org.spruceridge.net.Json;
+import org.spruceridge.net.Times;
+
+/** A worker, written from its published protocol. */
+public final class SimWorker {
+    private final World world;
+    private final SimLoop.Process process;
+    private final HttpClient http;
+    private final String name;
+    private final String zone;
+    private final boolean spot;
+    private final Map<String, Task> tasks = new TreeMap<>();
+    private final List<String> nodes;
+    private int node;
+    private long session = 1;
+    private long sequence;
+    private long token;
+    private long leaseFrom;
+    private long lastSent = Long.MIN_VALUE / 2;
+    private boolean waiting;
+    private boolean frozen;
+    private Double noticeS;
+
+    /** What a started task does. */
+    public enum Behaviour {
+        COMPLETES,
+        FAILS
+    }
+
+    private static final class Task {
+        private final String part;
+        private final long attempt;
+        private String stage = "running";
+        private String cause;
+
+        Task(String part, long attempt) {
+            this.part = part;
+            this.attempt = attempt;
+        }
+    }
+
+    private Behaviour behaviour = Behaviour.COMPLETES;
+
+    SimWorker(World world, String name, String zone, boolean spot) {
+        this.world = world;
+        this.process = new SimLoop.Process(world.loop);
+        this.http = world.net.client(name, process);
+        this.name = name;
+        this.zone = zone;
+        this.spot = spot;
+        this.nodes = world.nodeNames();
+        this.leaseFrom = world.loop.nanos();
+        report();
+        checkLease();
+    }
+
+    public String name() {
+        return name;
+    }
+
+    public void behaviour(Behaviour next) {
+        behaviour = next;
+    }
+
+    /** Tells the controllers that the cloud will take the machine away. */
+    public void notice(double seconds) {
+        noticeS = seconds;
+    }
+
+    /** Lets the machine hang, or go on. */
+    public void frozen(boolean value) {
+        frozen = value;
+    }
+
+    /** Tasks that are on the machine now. */
+    public List<String> running() {
+        return tasks.values().stream()
+                .filter(t -> !t.stage.equals("ended"))
+                .map(t -> t.part)
+                .toList();
+    }
+
+    void kill() {
+        process.kill();
+        tasks.values().forEach(t -> world.ended(t.part, name));
+        tasks.clear();
+    }
+
+    private void checkLease() {
+        if (!frozen && world.loop.nanos() - leaseFrom > Times.nanos(World.LEASE_S)) {
+            session++;
+            leaseFrom = world.loop.nanos();
+            tasks.values().forEach(t -> world.ended(t.part, name));
+            tasks.clear();
+        }
+        process.after(Times.millis(50), this::checkLease);
+    }
+
+    private void report() {
+        process.after(Times.nanos(World.REPORT_S), this::report);
+        if (!frozen) {
+            send();
+        }
+    }
+
+    private void soon() {
+        long wait = lastSent + Times.millis(500) - world.loop.nanos();
+        process.after(Math.max(0, wait), this::send);
+    }
+
+    private void send() {
+        if (waiting || frozen) {
+            return;
+        }
+        waiting = true;
+        sequence++;
+        long sentAt = world.loop.nanos();
+        lastSent = sentAt;
+        long sentIn = session;
+        Address to = World.address(nodes.get(node));
+        http.call(to, HttpCall.post("/hello", Json.bytes(body())), Times.nanos(4), answer -> {
+            waiting = false;
+            answered(answer, sentAt, sentIn);
+        });
+    }
+
+    private ObjectNode body() {
+        ObjectNode out = Json.object()
+                .put("host", name)
+                .put("endpoint", "10.1.0.1:9000")
+                .put("build", "t8")
+                .put("grove", zone)
+                .put("windfall", spot)
+                .put("watch", session)
+                .put("tally", sequence)
+                .put("warrant", token)
+                .put("warningS", noticeS);
+        ArrayNode parts = out.putArray("parts");
+        for (Task t : tasks.values()) {
+            parts.addObject()
+                    .put("part", t.part)
+                    .put("try", t.attempt)
+                    .put("stage", t.stage)
+                    .put("cause", t.cause);
+        }
+        return out;
+    }
+
+    private void answered(HttpAnswer answer, long sentAt, long sentIn) {
+        if (answer.status() != 200) {
+            node = next(answer);
+            process.after(Times.millis(answer.status() == 421 ? 100 : 1000), this::send);
+            return;
+        }
+        try {
+            JsonNode body = Json.object(answer.body());
+            long given = Json.whole(body, "warrant");
+            if (given < token || sentIn != session) {
+                return;
+            }
+            if (given > token) {
+                token = given;
+                soon();
+            }
+            leaseFrom = sentAt;
+            for (JsonNode order : Json.list(body, "orders")) {
+                execute(order);
+            }
+        } catch (BadMessageException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    private int next(HttpAnswer answer) {
+        if (answer.status() == 421) {
+            try {
+                JsonNode steward = Json.object(answer.body()).path("steward");
+                if (nodes.contains(steward.asText())) {
+                    return nodes.indexOf(steward.asText());
+                }
+            } catch (BadMessageException e) {
+                throw new AssertionError(e);
+            }
+        }
+        return (node + 1) % nodes.size();
+    }
+
+    private void execute(JsonNode order) throws BadMessageException {
+        String part = Json.text(order, "part");
+        long attempt = Json.whole(order, "try");
+        String key = part + "#" + attempt;
+        Task task = tasks.get(key);
+        switch (Json.text(order, "verb")) {
+            case "start" -> {
+                if (task == null) {
+                    start(new Task(part, attempt), key);
+                }
+            }
+            case "halt" -> {
+                if (task != null && !task.stage.equals("ended")) {
+                    end(task, "stopped");
+                }
+            }
+            case "forget" -> {
+                if (task != null && task.stage.equals("ended")) {
+                    tasks.remove(key);
+                }
+            }
+            default -> throw new AssertionError(order);
+        }
+    }
+
+    private void start(Task task, String key) {
+        tasks.put(key, task);
+        world.started(task.part, this, zone, spot);
+        soon();
+        process.after(Times.nanos(world.runS(task.part)), () -> {
+            if (tasks.get(key) == task && !task.stage.equals("ended")) {
+                end(task, behaviour == Behaviour.COMPLETES ? "done" : "error");
+            }
+        });
+    }
+
+    private void end(Task task, String cause) {
+        task.stage = "ended";
+        task.cause = cause;
+        world.ended(task.part, name);
+        if (cause.equals("done")) {
+            world.completed(task.part);
+        }
+        soon();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/spruceridge/sim/World.java
@@ -0,0 +1,290 @@
+package org.spruceridge.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.spruceridge.config.Address;
+import org.spruceridge.config.Policy;
+import org.spruceridge.config.Settings;
+import org.spruceridge.net.BadMessageException;
+import org.spruceridge.net.HttpAnswer;
+import org.spruceridge.net.Json;
+import org.spruceridge.net.Request;
+import org.spruceridge.net.Response;
+import org.spruceridge.node.Node;
+import org.spruceridge.peer.PeerLink;
+
+/**
+ * A small deployment on simulated time: nodes as they are, everything around them from these stand-ins. It keeps its
+ * own book of what runs where and fails the story when a task is on two machines or a limit is broken.
+ */
+public final class World {
+    public static final double REPORT_S = 2;
+    public static final double LEASE_S = 14;
+    public static final double CANCEL_S = 30;
+    public static final double BOOT_S = 5;
+    public static final double TEAM_CPUS = 16;
+
+    static final Address STATE = new Address("10.2.0.1", 1);
+    static final Address CLOUD = new Address("10.2.0.2", 1);
+
+    public final SimLoop loop = new SimLoop();
+    public final SimNet net = new SimNet(loop);
+    public final SimState state;
+    public final SimCloud cloud;
+    private final List<String> names = new ArrayList<>();
+    private final Map<String, Running> nodes = new TreeMap<>();
+    private final Map<String, String> onMachine = new HashMap<>();
+    private final Map<String, ObjectNode> submitted = new HashMap<>();
+    private final Map<String, Long> cancelled = new HashMap<>();
+    private final Set<String> completed = new HashSet<>();
+    private final List<String> starts = new ArrayList<>();
+    private int lives;
+
+    private record Running(Node node, SimLoop.Process process, Link link) {}
+
+    public World(int nodeCount) {
+        this(nodeCount, 12, 1000);
+    }
+
+    /** A small page size makes listings come in several pages. */
+    public World(int nodeCount, int txnOps, int pageSize) {
+        this.state = new SimState(loop, txnOps, pageSize);
+        this.cloud = new SimCloud(this);
+        net.serve(STATE, state);
+        net.serve(CLOUD, cloud);
+        for (int i = 0; i < nodeCount; i++) {
+            names.add("n" + i);
+        }
+        names.forEach(this::boot);
+    }
+
+    List<String> nodeNames() {
+        return names;
+    }
+
+    static Address address(String node) {
+        return new Address("10.0.0." + node, 8080);
+    }
+
+    /** Starts a node, or starts it again after its end. */
+    public void boot(String name) {
+        SimLoop.Process process = new SimLoop.Process(loop);
+        Link link = new Link(name);
+        Node node = new Node(
+                process,
+                net.client(name, process),
+                link,
+                new SplittableRandom(++lives),
+                settings(name),
+                Policy.defaults());
+        nodes.put(name, new Running(node, process, link));
+        net.serve(address(name), (call, answer) -> {
+            if (!process.dead()) {
+                node.handler().handle(new Request(call.method(), call.target(), call.body()), response -> {
+                    if (!process.dead()) {
+                        answer.accept(new HttpAnswer(response.status(), response.body()));
+                    }
+                });
+            }
+        });
+        process.after(0, node::start);
+    }
+
+    /** Ends a node as a kill without a signal does. */
+    public void crash(String name) {
+        nodes.get(name).process.kill();
+        net.remove(address(name));
+    }
+
+    /** The name of the node that leads, or null. */
+    public String leader() {
+        for (var e : nodes.entrySet()) {
+            if (!e.getValue().process.dead() && e.getValue().node.leads()) {
+                return e.getKey();
+            }
+        }
+        return null;
+    }
+
+    /** A node that runs and does not lead. */
+    public String follower() {
+        return names.stream()
+                .filter(n -> !nodes.get(n).process.dead() && !n.equals(leader()))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    /** Sends a request to a node and lets time pass until it is answered; null after five seconds. */
+    public Response ask(String node, String method, String path, JsonNode body) {
+        return ask(node, method, path, body == null ? new byte[0] : Json.bytes(body));
+    }
+
+    public Response ask(String node, String method, String path, byte[] body) {
+        Response[] got = new Response[1];
+        nodes.get(node).node.handler().handle(new Request(method, path, body), r -> got[0] = r);
+        for (int i = 0; i < 500 && got[0] == null; i++) {
+            loop.run(0.01);
+        }
+        if (got[0] != null && path.endsWith("/abort") && stage(got[0]).equals("cancelled")) {
+            cancelled.putIfAbsent(path.split("/")[3], loop.nanos());
+        }
+        return got[0];
+    }
+
+    /** Submits through any node. */
+    public int submit(ObjectNode job) {
+        submitted.put(job.path("nameId").asText(), job);
+        Response r = ask(names.get(0), "POST", "/api/jobs", job);
+        return r == null ? 0 : r.status();
+    }
+
+    /** What a node says of a job: its stage, or the status if that is not 200. */
+    public String poll(String id) {
+        Response r = ask(leader() == null ? follower() : leader(), "GET", "/api/jobs/" + id, (JsonNode) null);
+        return r == null ? "none" : r.status() == 200 ? stage(r) : String.valueOf(r.status());
+    }
+
+    public static String stage(Response r) {
+        try {
+            return Json.object(r.body()).path("stage").asText();
+        } catch (BadMessageException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    /** A job of tasks of 4 CPUs, which run 5 s each. */
+    public static ObjectNode job(int number, int tasks) {
+        return Json.object()
+                .put("nameId", String.format("j-%06d", number))
+                .put("lot", "nightly")
+                .put("crew", "red")
+                .put("shape", "sweep")
+                .put("rank", "normal")
+                .put("parts", tasks)
+                .put("cpus", 4.0)
+                .put("accelerators", 0.0)
+                .put("memGb", 4.0)
+                .put("bundle", "img-1")
+                .put("pullGb", 1.0)
+                .putNull("builds")
+                .putNull("grove")
+                .put("samePlace", false)
+                .put("scatter", false)
+                .put("windfall", true)
+                .put("expectS", 5.0)
+                .put("markEveryS", 0.0)
+                .put("markS", 0.0)
+                .putNull("dueS");
+    }
+
+    /** Every start so far, as {@code part@machine}. */
+    public List<String> starts() {
+        return starts;
+    }
+
+    public Set<String> completed() {
+        return completed;
+    }
+
+    /** Tasks on machines now, with their machine. */
+    public Map<String, String> running() {
+        return onMachine;
+    }
+
+    double runS(String part) {
+        return submitted.get(part.split("/")[0]).path("expectS").asDouble();
+    }
+
+    void started(String part, SimWorker worker, String zone, boolean spot) {
+        String elsewhere = onMachine.putIfAbsent(part, worker.name());
+        if (elsewhere != null) {
+            throw new AssertionError("ran_twice: " + part + " on " + elsewhere + " and " + worker.name());
+        }
+        String id = part.split("/")[0];
+        if (cancelled.containsKey(id) && (loop.nanos() - cancelled.get(id)) / 1e9 > CANCEL_S) {
+            throw new AssertionError("ran_cancelled: " + part);
+        }
+        ObjectNode job = submitted.get(id);
+        if (spot && !job.path("windfall").asBoolean()
+                || job.hasNonNull("grove") && !job.path("grove").asText().equals(zone)) {
+            throw new AssertionError("wrong_place: " + part);
+        }
+        starts.add(part + "@" + worker.name());
+        double cpus = onMachine.keySet().stream()
+                .mapToDouble(p -> submitted.get(p.split("/")[0]).path("cpus").asDouble())
+                .sum();
+        if (cpus > TEAM_CPUS) {
+            throw new AssertionError("quota: " + cpus);
+        }
+    }
+
+    void ended(String part, String machine) {
+        onMachine.remove(part, machine);
+    }
+
+    void completed(String part) {
+        completed.add(part);
+    }
+
+    private Settings settings(String name) {
+        ObjectNode root = Json.object()
+                .put("host_name", name)
+                .put("domain", "z1")
+                .put("serve_on", address(name).toString())
+                .put("peer_listen", "10.0.1.1:1");
+        var members = root.putArray("members");
+        for (String other : names) {
+            if (!other.equals(name)) {
+                members.addObject().put("host_name", other).put("domain", "z1").put("peer_addr", "10.0.1.1:1");
+            }
+        }
+        root.putObject("endpoints").put("state", STATE.toString()).put("cloud", CLOUD.toString());
+        ObjectNode facts = root.putObject("facts");
+        facts.putArray("zones").add("z1").add("z2");
+        facts.putArray("teams").addObject().put("name", "red").put("cpus", 8).put("cpus_max", TEAM_CPUS);
+        facts.putObject("workers")
+                .put("report_s", REPORT_S)
+                .put("lease_s", LEASE_S)
+                .put("cancel_s", CANCEL_S);
+        facts.putObject("state")
+                .put("rps", 200)
+                .put("write_rps", 100)
+                .put("value_kb", 4)
+                .put("txn_ops", 12);
+        facts.putObject("cloud").put("rps", 10).put("list_lag_s", 2);
+        facts.putObject("resources").put("core_share", 1).put("mem_mb", 200).put("max_sockets", 100);
+        return Settings.read(root);
+    }
+
+    private final class Link implements PeerLink {
+        private final String from;
+        private Consumer<byte[]> taker = frame -> {};
+
+        Link(String from) {
+            this.from = from;
+        }
+
+        @Override
+        public void start(Consumer<byte[]> next) {
+            taker = next;
+        }
+
+        @Override
+        public void broadcast(byte[] frame) {
+            nodes.forEach((name, running) -> {
+                if (!name.equals(from)) {
+                    running.process.after(1_000_000, () -> running.link.taker.accept(frame));
+                }
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/spruceridge/story/FailureStoriesTest.java
@@ -0,0 +1,268 @@
+package org.spruceridge.story;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.HashSet;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.Test;
+import org.spruceridge.net.Response;
+import org.spruceridge.sim.SimNet.Fate;
+import org.spruceridge.sim.SimWorker;
+import org.spruceridge.sim.World;
+
+/** What may go wrong between the nodes, the state service, the cloud and the workers, and what must still hold. */
+final class FailureStoriesTest {
+    private final World world = new World(3);
+
+    private void until(BooleanSupplier condition, double seconds) {
+        for (int i = 0; i < seconds * 20 && !condition.getAsBoolean(); i++) {
+            world.loop.run(0.05);
+        }
+        assertTrue(condition.getAsBoolean(), "not within " + seconds + " s");
+    }
+
+    private boolean bound(String job) {
+        return world.state.keys("machine/").stream()
+                .anyMatch(k -> world.state.value(k).path("bound").toString().contains(job));
+    }
+
+    @Test
+    void aLeaderDiesBetweenTheCommitAndTheOrder() {
+        // No worker hears anything until the binding is on record and its leader is gone.
+        until(() -> world.leader() != null, 10);
+        world.submit(World.job(1, 1));
+        until(() -> !world.cloud.workers().isEmpty(), 30);
+        String first = world.leader();
+        until(() -> bound("j-000001"), 30);
+        assertTrue(world.starts().isEmpty(), "the start must come after the commit");
+        world.crash(first);
+        until(() -> world.poll("j-000001").equals("done"), 60);
+        assertEquals(1, world.starts().size());
+    }
+
+    @Test
+    void aDeposedLeadersLateTransactionChangesNothing() {
+        until(() -> world.leader() != null, 10);
+        world.submit(World.job(1, 2));
+        until(() -> !world.cloud.workers().isEmpty(), 30);
+        String old = world.leader();
+        // The old leader's writes get stuck in the network; then it loses the state service altogether.
+        world.net.weather(
+                (from, to, call) -> from.equals(old) && call.target().equals("/txn") ? Fate.HELD : Fate.DELIVERED);
+        until(() -> world.net.held() > 0, 30);
+        world.net.weather(
+                (from, to, call) -> from.equals(old) && to.host().startsWith("10.2.0.1") ? Fate.LOST : Fate.DELIVERED);
+        until(() -> world.leader() != null && !world.leader().equals(old), 30);
+        until(() -> world.poll("j-000001").equals("done"), 60);
+        JsonNode leader = world.state.value("leader");
+        var machines = world.state.keys("machine/");
+        world.net.letGo();
+        world.loop.run(1);
+        assertEquals(leader, world.state.value("leader"));
+        assertEquals(machines, world.state.keys("machine/"));
+        assertFalse(bound("j-000001"), "a binding of the old leader came in late");
+        world.loop.run(20);
+        assertEquals(2, world.starts().size());
+    }
+
+    @Test
+    void aLeaderThatLostTheStateServiceStopsAnsweringWorkers() {
+        until(() -> world.leader() != null, 10);
+        String old = world.leader();
+        world.net.weather(
+                (from, to, call) -> from.equals(old) && to.host().startsWith("10.2.0.1") ? Fate.LOST : Fate.DELIVERED);
+        until(() -> world.leader() != null && !world.leader().equals(old), 30);
+        Response answer = world.ask(old, "POST", "/hello", report("i-000099", 7));
+        assertNotEquals(200, answer.status());
+    }
+
+    private static JsonNode report(String machine, int sequence) {
+        var node = org.spruceridge.net.Json.object()
+                .put("host", machine)
+                .put("endpoint", "10.1.0.9:9000")
+                .put("build", "t8")
+                .put("grove", "z1")
+                .put("windfall", false)
+                .put("watch", 1)
+                .put("tally", sequence)
+                .put("warrant", 0);
+        node.putArray("parts");
+        return node;
+    }
+
+    @Test
+    void aTakeoverWaitsForASilentWorkersLease() {
+        until(() -> world.leader() != null, 10);
+        world.submit(World.job(1, 1).put("expectS", 25.0));
+        until(() -> world.running().size() == 1, 30);
+        SimWorker worker = world.cloud.workers().get(0);
+        // Its task goes on while nobody can hear it, nor reach the cloud, and the leader dies.
+        world.net.weather((from, to, call) ->
+                from.equals(worker.name()) || to.host().equals("10.2.0.2") ? Fate.LOST : Fate.DELIVERED);
+        world.crash(world.leader());
+        until(() -> world.leader() != null, 30);
+        world.loop.run(4);
+        assertEquals(1, world.running().size(), "the silent worker still runs the task");
+        assertEquals(1, world.starts().size());
+        world.net.clear();
+        world.net.weather((from, to, call) -> from.equals(worker.name()) ? Fate.LOST : Fate.DELIVERED);
+        until(() -> world.poll("j-000001").equals("done"), 120);
+        assertEquals(2, world.starts().size());
+    }
+
+    @Test
+    void aCancellationRacesAStart() {
+        until(() -> world.leader() != null, 10);
+        world.submit(World.job(1, 2).put("expectS", 600.0));
+        until(() -> bound("j-000001"), 40);
+        Response answer = world.ask(world.follower(), "POST", "/api/jobs/j-000001/abort", (JsonNode) null);
+        assertEquals("cancelled", World.stage(answer));
+        world.loop.run(World.CANCEL_S);
+        assertTrue(world.running().isEmpty());
+        assertFalse(bound("j-000001"), "bindings of a cancelled job must be released in the end");
+        assertEquals("cancelled", world.poll("j-000001"));
+    }
+
+    @Test
+    void aCancellationWithNoLeaderIsCarriedOutByTheNext() {
+        until(() -> world.leader() != null, 10);
+        world.submit(World.job(1, 2).put("expectS", 600.0));
+        until(() -> world.running().size() == 2, 40);
+        world.crash(world.leader());
+        Response answer = world.ask(world.follower(), "POST", "/api/jobs/j-000001/abort", (JsonNode) null);
+        assertEquals("cancelled", World.stage(answer));
+        world.loop.run(World.CANCEL_S);
+        assertTrue(world.running().isEmpty());
+    }
+
+    @Test
+    void aLateReportChangesNothing() {
+        until(() -> world.leader() != null, 10);
+        world.submit(World.job(1, 1).put("expectS", 20.0));
+        until(() -> world.running().size() == 1, 30);
+        SimWorker worker = world.cloud.workers().get(0);
+        // Its reports are held back until its lease is over and the task runs elsewhere.
+        world.net.weather((from, to, call) -> from.equals(worker.name()) ? Fate.HELD : Fate.DELIVERED);
+        until(() -> world.starts().size() == 2, 60);
+        world.net.clear();
+        world.net.letGo();
+        until(() -> world.poll("j-000001").equals("done"), 60);
+        assertEquals(2, world.starts().size());
+    }
+
+    @Test
+    void theLimitHoldsWhenALeaderTakesOverWithSilentWorkers() {
+        until(() -> world.leader() != null, 10);
+        world.submit(World.job(1, 4).put("expectS", 30.0));
+        until(() -> world.running().size() == 4, 40); // the team's limit
+        world.net.weather(
+                (from, to, call) -> from.startsWith("i-") || to.host().equals("10.2.0.2") ? Fate.LOST : Fate.DELIVERED);
+        world.crash(world.leader());
+        world.submit(World.job(2, 4).put("expectS", 30.0));
+        until(() -> world.leader() != null, 30);
+        world.loop.run(5);
+        world.net.clear();
+        world.loop.run(200);
+        // The world counts the limit at every start.
+        assertEquals(8, world.completed().size());
+    }
+
+    @Test
+    void aLostAnswerToARentalRentsNothingTwice() {
+        until(() -> world.leader() != null, 10);
+        int[] lost = new int[1];
+        world.net.weather((from, to, call) ->
+                call.target().equals("/hosts") && call.method().equals("POST") && lost[0]++ < 2
+                        ? Fate.ANSWER_LOST
+                        : Fate.DELIVERED);
+        world.submit(World.job(1, 1));
+        until(() -> world.poll("j-000001").equals("done"), 60);
+        assertTrue(lost[0] >= 3, "the request was repeated");
+        assertEquals(1, new HashSet<>(world.cloud.workers()).size());
+    }
+
+    @Test
+    void aStateOutageLosesNothing() {
+        until(() -> world.leader() != null, 10);
+        world.submit(World.job(1, 2).put("expectS", 30.0));
+        until(() -> world.running().size() == 2, 40);
+        world.state.outage(8);
+        assertEquals("503", world.poll("j-000001"));
+        assertEquals(503, world.ask("n0", "POST", "/api/jobs", World.job(2, 1)).status());
+        world.loop.run(10);
+        until(() -> world.poll("j-000001").equals("done"), 60);
+        assertEquals(2, world.starts().size(), "an outage shorter than a lease costs no task");
+    }
+
+    @Test
+    void allNodesDieAndComeBack() {
+        until(() -> world.leader() != null, 10);
+        world.submit(World.job(1, 4).put("expectS", 20.0));
+        until(() -> world.running().size() == 4, 40);
+        for (String node : new String[] {"n0", "n1", "n2"}) {
+            world.crash(node);
+        }
+        assertNull(world.leader());
+        world.loop.run(3);
+        for (String node : new String[] {"n0", "n1", "n2"}) {
+            world.boot(node);
+        }
+        until(() -> world.poll("j-000001").equals("done"), 60);
+        assertEquals(4, world.starts().size());
+    }
+
+    @Test
+    void aRestartedLeaderTakesItsOwnPlaceAtOnce() {
+        until(() -> world.leader() != null, 10);
+        String leader = world.leader();
+        world.crash(leader);
+        world.boot(leader);
+        world.loop.run(0.5);
+        assertEquals(leader, world.leader());
+    }
+
+    @Test
+    void aMachineThatDiesIsReplacedAndItsTaskRunsAgain() {
+        until(() -> world.leader() != null, 10);
+        world.submit(World.job(1, 1).put("expectS", 20.0));
+        until(() -> world.running().size() == 1, 30);
+        world.cloud.die(world.cloud.workers().get(0));
+        until(() -> world.poll("j-000001").equals("done"), 120);
+        assertEquals(2, world.starts().size());
+    }
+
+    @Test
+    void aFaultyMachineIsReplaced() {
+        until(() -> world.leader() != null, 10);
+        world.submit(World.job(1, 1).put("expectS", 3.0));
+        until(() -> world.cloud.workers().size() == 1, 30);
+        SimWorker sick = world.cloud.workers().get(0);
+        sick.behaviour(SimWorker.Behaviour.FAILS);
+        world.submit(World.job(2, 1).put("expectS", 3.0));
+        until(
+                () -> world.poll("j-000001").equals("done")
+                        && world.poll("j-000002").equals("done"),
+                120);
+        assertFalse(world.cloud.workers().contains(sick), "two jobs failed on it");
+    }
+
+    @Test
+    void aNoticedMachineGetsNoMoreWork() {
+        until(() -> world.leader() != null, 10);
+        world.submit(World.job(1, 1));
+        until(() -> world.poll("j-000001").equals("done"), 60);
+        SimWorker worker = world.cloud.workers().get(0);
+        worker.notice(100);
+        world.loop.run(5);
+        world.submit(World.job(2, 1));
+        until(() -> world.poll("j-000002").equals("done"), 60);
+        assertNotNull(world.starts().get(1));
+        assertFalse(world.starts().get(1).endsWith(worker.name()));
+    }
+}
