--- a/src/main/java/org/spruceridge/cluster/Binding.java
+++ b/src/main/java/org/spruceridge/cluster/Binding.java
@@ -33,6 +33,8 @@
     private Stage stage;
     private Halt halt = Halt.NO;
     private Phase phase = Phase.ABSENT;
+    private boolean pushed;
+    private boolean stopPushed;
     private long runningSince;
     private final long boundAt;
 
@@ -103,6 +105,22 @@
         return phase == Phase.RUNNING || phase == Phase.SAVING ? (now - runningSince) / 1e9 : 0;
     }
 
+    /** A start was sent straight to the worker. */
+    public boolean pushed() {
+        return pushed;
+    }
+
+    /** A stop was sent straight to the worker. */
+    public boolean stopPushed() {
+        return stopPushed;
+    }
+
+    /** Takes note of what is sent straight to the worker. */
+    public void pushed(boolean start, boolean stop) {
+        pushed |= start;
+        stopPushed |= stop;
+    }
+
     public long boundAt() {
         return boundAt;
     }
--- a/src/main/java/org/spruceridge/cluster/Machine.java
+++ b/src/main/java/org/spruceridge/cluster/Machine.java
@@ -27,6 +27,8 @@
     private long knownSince;
     private boolean returning;
     private boolean suspect;
+    private final Set<Long> unresolved = new HashSet<>();
+    private boolean tainted;
     private long idleSince;
     private long lastStop = Long.MIN_VALUE;
     private long lastListed = Long.MIN_VALUE;
@@ -118,6 +120,9 @@
         if (!everHeard) {
             idleSince = now;
         }
+        if (reportSession > session) {
+            voidPushes();
+        }
         session = reportSession;
         sequence = reportSequence;
         address = reportAddress;
@@ -129,6 +134,26 @@
     public void endSession() {
         leastSession = session + 1;
         fenced = false;
+        voidPushes();
+    }
+
+    /** Attempts whose start was sent straight to the worker and may still be on its way. */
+    public Set<Long> unresolved() {
+        return unresolved;
+    }
+
+    /** A push of this session was not answered: a start may come late. */
+    public boolean tainted() {
+        return tainted;
+    }
+
+    public void taint() {
+        tainted = true;
+    }
+
+    private void voidPushes() {
+        unresolved.clear();
+        tainted = false;
     }
 
     /** True once a report carried this term's token: no older leader's answer counts there any more. */
--- a/src/main/java/org/spruceridge/fleet/Fleet.java
+++ b/src/main/java/org/spruceridge/fleet/Fleet.java
@@ -227,7 +227,7 @@
         Demand demand = new Demand(cluster, offer -> refusedUntil.getOrDefault(offer, Long.MIN_VALUE) <= now);
         List<Machine> here = new ArrayList<>();
         for (Machine m : cluster.machines()) {
-            if (m.returning() || m.suspect() || m.noticed()) {
+            if (m.returning() || m.suspect() || m.noticed() || m.tainted()) {
                 continue;
             }
             if (m.everHeard()) {
@@ -308,11 +308,11 @@
     private void returnIdle(Set<Machine> kept, long now) {
         List<Machine> idle = new ArrayList<>();
         for (Machine m : cluster.machines()) {
-            if (!m.bindings().isEmpty() || m.returning() || !m.everHeard()) {
+            if (m.returning() || !m.everHeard() || !(m.bindings().isEmpty() || lateStartMayHarm(m))) {
                 continue;
             }
             double bootS = cluster.typeOf(m).map(MachineType::bootS).orElse(0.0);
-            boolean useless = m.suspect() || m.noticed();
+            boolean useless = m.suspect() || m.noticed() || m.tainted();
             boolean idleLong = secondsSince(m.idleSince(), now) > policy.fleet().idleOfBoot() * bootS
                     && secondsSince(m.bornAt(), now) > LEAST_PAID_S;
             if (useless || (idleLong && !kept.contains(m))) {
@@ -324,6 +324,15 @@
         }
     }
 
+    /** A start of a cancelled job may still be on its way to this machine: only its end makes sure. */
+    private static boolean lateStartMayHarm(Machine m) {
+        return m.tainted()
+                && m.bindings().stream()
+                        .anyMatch(b -> b.job().cancelled()
+                                && b.phase() == Binding.Phase.ABSENT
+                                && m.unresolved().contains(b.attempt()));
+    }
+
     private void delete(List<Machine> machines, String why) {
         List<Machine> fresh = new ArrayList<>();
         for (Machine m : machines) {
--- a/src/main/java/org/spruceridge/lead/Leader.java
+++ b/src/main/java/org/spruceridge/lead/Leader.java
@@ -17,6 +17,7 @@
 import org.spruceridge.state.StateClient;
 import org.spruceridge.worker.Order;
 import org.spruceridge.worker.Report;
+import org.spruceridge.worker.WorkerClient;
 
 /** All that a node does while it leads: one object for each term, stopped with it. */
 public final class Leader {
@@ -31,6 +32,7 @@
     private final JobWatch watch;
     private final Takeover takeover;
     private final Rounds rounds;
+    private final Pusher pusher;
     private final Fleet fleet;
     private final Tenure tenure;
     private final long idleRound;
@@ -41,6 +43,7 @@
             Loop loop,
             StateClient state,
             CloudClient cloud,
+            WorkerClient workers,
             Settings settings,
             Policy policy,
             Oddities oddities,
@@ -54,12 +57,14 @@
         Ledger.Listener events = new Ledger.Listener() {
             @Override
             public void committed() {
+                pusher.pushAll();
                 rounds.request();
             }
 
             @Override
             public void cancelled(Job job) {
                 watch.cancelled(job);
+                pusher.pushAll();
             }
 
             @Override
@@ -81,7 +86,11 @@
                 settings,
                 policy,
                 tenure);
-        this.watch = new JobWatch(scope, state, cluster, ledger, oddities, rounds::request);
+        this.pusher = new Pusher(scope, cluster, workers, desk, settings, tenure, leads, () -> rounds.request());
+        this.watch = new JobWatch(scope, state, cluster, ledger, oddities, () -> {
+            pusher.pushAll();
+            rounds.request();
+        });
         this.takeover = new Takeover(loop, scope, state, cluster, ledger, tenure, settings, oddities);
         this.fleet = new Fleet(
                 loop,
--- /dev/null
+++ b/src/main/java/org/spruceridge/lead/Pusher.java
@@ -0,0 +1,113 @@
+package org.spruceridge.lead;
+
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.spruceridge.cluster.Binding;
+import org.spruceridge.cluster.Cluster;
+import org.spruceridge.cluster.Machine;
+import org.spruceridge.config.Address;
+import org.spruceridge.config.Settings;
+import org.spruceridge.net.Scope;
+import org.spruceridge.net.Times;
+import org.spruceridge.worker.Order;
+import org.spruceridge.worker.Push;
+import org.spruceridge.worker.WorkerClient;
+
+/**
+ * Sends starts and stops to workers without waiting for their next report.
+ *
+ * <p>Such an order can arrive minutes late, as long as the token and the session still match. A late stop names an
+ * attempt and harms nothing. A late start would, once its binding is released: so while a pushed start is unresolved
+ * its absence from a report proves nothing, the worker is not told to forget the attempt, and a machine that did not
+ * answer a push gets no more work and is returned. A new session or a newer token voids whatever is on its way.
+ */
+public final class Pusher {
+    private static final Logger LOG = LoggerFactory.getLogger(Pusher.class);
+
+    private final Scope scope;
+    private final Cluster cluster;
+    private final WorkerClient workers;
+    private final ReportDesk desk;
+    private final BooleanSupplier leads;
+    private final Runnable changed;
+    private final long term;
+    private final long patience;
+    private final Set<Machine> busy = new HashSet<>();
+
+    public Pusher(
+            Scope scope,
+            Cluster cluster,
+            WorkerClient workers,
+            ReportDesk desk,
+            Settings settings,
+            Tenure tenure,
+            BooleanSupplier leads,
+            Runnable changed) {
+        this.scope = scope;
+        this.cluster = cluster;
+        this.workers = workers;
+        this.desk = desk;
+        this.leads = leads;
+        this.changed = changed;
+        this.term = tenure.term();
+        this.patience = Times.nanos(settings.workers().leaseS() / 4);
+    }
+
+    /** Pushes whatever is due on any machine. */
+    public void pushAll() {
+        for (Machine m : ImmutableList.copyOf(cluster.machines())) {
+            if (m.fenced() && !m.tainted() && !m.address().isEmpty() && !busy.contains(m) && leads.getAsBoolean()) {
+                push(m);
+            }
+        }
+    }
+
+    private void push(Machine m) {
+        List<Order> orders = new ArrayList<>();
+        List<Binding> starts = new ArrayList<>();
+        for (Binding b : m.bindings()) {
+            Order order = desk.due(b);
+            // Only the first start is pushed: what that did not bring about is left to the answers to reports.
+            boolean start = order != null && order.verb() == Order.Verb.START && !b.pushed();
+            boolean stop = order != null && order.verb() == Order.Verb.STOP && !b.stopPushed();
+            if (start) {
+                starts.add(b);
+            }
+            if (start || stop) {
+                orders.add(order);
+                b.pushed(start, stop);
+            }
+        }
+        if (orders.isEmpty()) {
+            return;
+        }
+        Address address;
+        try {
+            address = Address.parse(m.address());
+        } catch (IllegalArgumentException e) {
+            return; // the answers to its reports will do
+        }
+        busy.add(m);
+        long session = m.session();
+        starts.forEach(b -> m.unresolved().add(b.attempt()));
+        workers.push(address, term, session, orders, patience, scope.guard(push -> {
+            busy.remove(m);
+            if (push.kind() == Push.Kind.UNKNOWN) {
+                if (!starts.isEmpty() && m.session() == session) {
+                    LOG.info("machine {} did not answer a push: it gets no more work", m.name());
+                    m.taint();
+                }
+            } else {
+                starts.forEach(b -> m.unresolved().remove(b.attempt()));
+            }
+            push.report().ifPresent(desk::learn);
+            changed.run();
+        }));
+    }
+}
--- a/src/main/java/org/spruceridge/lead/ReportDesk.java
+++ b/src/main/java/org/spruceridge/lead/ReportDesk.java
@@ -46,14 +46,13 @@
 
     /** Takes note that a machine reported, and hands it this term's token; its tasks are not looked at. */
     public List<Order> greet(Report report) {
-        if (cluster.isGone(report.machine())) {
-            return List.of(); // a late report of a machine that was given back
-        }
-        Machine machine = machine(report);
-        if (machine.isNews(report.session(), report.sequence())) {
-            machine.heard(report.session(), report.sequence(), report.address(), loop.nanos());
+        if (!cluster.isGone(report.machine())) { // else a late report of a machine that was given back
+            Machine machine = machine(report);
+            if (machine.isNews(report.session(), report.sequence())) {
+                machine.heard(report.session(), report.sequence(), report.address(), loop.nanos());
+            }
+            machine.answered(loop.nanos());
         }
-        machine.answered(loop.nanos());
         return List.of();
     }
 
@@ -65,13 +64,25 @@
         if (cluster.isGone(report.machine())) {
             return greet(report);
         }
+        List<Order> orders = learn(report);
+        machine(report).answered(loop.nanos());
+        return orders;
+    }
+
+    /** Takes a report into the picture, however it came, and says what the worker should do next. */
+    public List<Order> learn(Report report) {
+        if (cluster.isGone(report.machine())) {
+            return List.of();
+        }
         Machine machine = machine(report);
-        if (!machine.isNews(report.session(), report.sequence()) || report.token() != term) {
-            return greet(report);
+        if (!machine.isNews(report.session(), report.sequence())) {
+            return List.of();
         }
         long now = loop.nanos();
         machine.heard(report.session(), report.sequence(), report.address(), now);
-        machine.answered(now);
+        if (report.token() != term) {
+            return List.of();
+        }
         machine.fence();
         machine.takenAt(
                 report.noticeS().isPresent()
@@ -111,7 +122,7 @@
             if (b.stage() == Binding.Stage.STRAY) {
                 cluster.unbind(b, now);
                 cluster.removeIfOver(b.job(), b.job().cancelled());
-            } else if (b.stage() == Binding.Stage.COMMITTED && mustNotStart(b)) {
+            } else if (b.stage() == Binding.Stage.COMMITTED && mustNotStart(b) && !startMayCome(b)) {
                 ledger.release(b, false);
             }
             return;
@@ -182,6 +193,9 @@
         List<Order> orders = new ArrayList<>();
         for (TaskReport task : unbound) {
             if (task.state() == Report.TaskState.EXITED) {
+                if (machine.unresolved().contains(task.attempt())) {
+                    continue; // while the worker knows the attempt, a late start of it does nothing
+                }
                 orders.add(Order.forget(task.task(), task.attempt()));
             } else {
                 stray(machine, task, now);
@@ -189,26 +203,36 @@
             }
         }
         for (Binding b : machine.bindings()) {
-            switch (b.phase()) {
-                case ABSENT -> {
-                    if (b.stage() == Binding.Stage.COMMITTED && !mustNotStart(b)) {
-                        orders.add(Order.start(b.task(), b.attempt()));
-                    }
-                }
-                case FETCHING, RUNNING, SAVING -> {
-                    haltBeforeLoss(b, now);
-                    if (b.halt() == Binding.Halt.AT_ONCE) {
-                        orders.add(Order.stop(b.task(), b.attempt(), 0));
-                    } else if (b.halt() == Binding.Halt.SAVING && b.phase() != Binding.Phase.SAVING) {
-                        orders.add(Order.stop(b.task(), b.attempt(), graceS(b, now)));
-                    }
-                }
-                case ENDED -> {} // forgotten once its end is on record
+            haltBeforeLoss(b, now);
+            Order due = due(b);
+            if (due != null) {
+                orders.add(due);
             }
         }
         return orders;
     }
 
+    /** The order that a binding calls for as things stand, or null. */
+    Order due(Binding b) {
+        return switch (b.phase()) {
+            case ABSENT -> b.stage() == Binding.Stage.COMMITTED && !mustNotStart(b)
+                    ? Order.start(b.task(), b.attempt())
+                    : null;
+            case FETCHING, RUNNING -> switch (b.halt()) {
+                case NO -> null;
+                case SAVING -> Order.stop(b.task(), b.attempt(), graceS(b, loop.nanos()));
+                case AT_ONCE -> Order.stop(b.task(), b.attempt(), 0);
+            };
+            case SAVING -> b.halt() == Binding.Halt.AT_ONCE ? Order.stop(b.task(), b.attempt(), 0) : null;
+            case ENDED -> null; // forgotten once its end is on record
+        };
+    }
+
+    /** A start sent straight to the worker is still unresolved: that the task is absent proves nothing yet. */
+    private static boolean startMayCome(Binding b) {
+        return b.machine().unresolved().contains(b.attempt());
+    }
+
     /** A running task that no record knows: it should not be. It is counted where it is, and stopped. */
     private void stray(Machine machine, TaskReport task, long now) {
         oddities.note("task without a binding", task.task() + "#" + task.attempt() + " on " + machine.name());
@@ -226,7 +250,8 @@
     /** On a machine about to be taken, a task that cannot end in time is stopped while there is time to save. */
     private void haltBeforeLoss(Binding b, long now) {
         Machine machine = b.machine();
-        if (!machine.noticed() || b.halt() != Binding.Halt.NO) {
+        boolean there = b.phase() == Binding.Phase.RUNNING || b.phase() == Binding.Phase.FETCHING;
+        if (!there || !machine.noticed() || b.halt() != Binding.Halt.NO) {
             return;
         }
         JobSpec spec = b.job().spec();
--- a/src/main/java/org/spruceridge/net/HttpAnswer.java
+++ b/src/main/java/org/spruceridge/net/HttpAnswer.java
@@ -1,13 +1,23 @@
 package org.spruceridge.net;
 
 /** What came of a request; status 0 means that no response came, and the request may have been carried out or not. */
-public record HttpAnswer(int status, byte[] body) {
-    private static final HttpAnswer SILENCE = new HttpAnswer(0, new byte[0]);
+public record HttpAnswer(int status, byte[] body, boolean sent) {
+    private static final HttpAnswer SILENCE = new HttpAnswer(0, new byte[0], true);
+    private static final HttpAnswer UNSENT = new HttpAnswer(0, new byte[0], false);
+
+    public HttpAnswer(int status, byte[] body) {
+        this(status, body, true);
+    }
 
     public static HttpAnswer silence() {
         return SILENCE;
     }
 
+    /** No connection came about: the request was certainly not carried out, nor will be. */
+    public static HttpAnswer unsent() {
+        return UNSENT;
+    }
+
     public boolean answered() {
         return status != 0;
     }
--- a/src/main/java/org/spruceridge/net/NettyHttpClient.java
+++ b/src/main/java/org/spruceridge/net/NettyHttpClient.java
@@ -88,7 +88,7 @@
         exchange.connection = connection;
         connecting.addListener(f -> {
             if (!f.isSuccess()) {
-                exchange.finish(HttpAnswer.silence());
+                exchange.finish(HttpAnswer.unsent());
             } else if (exchange.over) {
                 connection.channel.close();
             } else {
@@ -114,8 +114,9 @@
 
         void giveUp() {
             if (!over) {
+                boolean sent = connection != null && connection.current == this;
                 drop();
-                finish(HttpAnswer.silence());
+                finish(sent ? HttpAnswer.silence() : HttpAnswer.unsent());
             }
         }
 
--- a/src/main/java/org/spruceridge/node/Node.java
+++ b/src/main/java/org/spruceridge/node/Node.java
@@ -29,6 +29,7 @@
 import org.spruceridge.state.StateClient;
 import org.spruceridge.worker.Order;
 import org.spruceridge.worker.Report;
+import org.spruceridge.worker.WorkerClient;
 
 /** One controller node: its duties, and what it does while it leads. Clocks, randomness and network come in. */
 public final class Node implements Election.Listener {
@@ -51,6 +52,7 @@
     private final Budget cloudBudget;
     private final StateClient state;
     private final CloudClient cloud;
+    private final WorkerClient workers;
     private final Election election;
     private final Peers peers;
     private final Router router;
@@ -68,6 +70,7 @@
         shareLimits(false);
         this.state = new StateClient(loop, http, settings.stateAddress(), stateBudget, oddities);
         this.cloud = new CloudClient(http, settings.cloudAddress(), cloudBudget, oddities);
+        this.workers = new WorkerClient(http, oddities);
         this.election = new Election(loop, state, random, oddities, settings, policy, this);
         this.peers = new Peers(loop, link, oddities, this::beacon);
         JobsEndpoint jobs = new JobsEndpoint(loop, state, settings, () -> catalogue, this::progress, oddities);
@@ -104,7 +107,8 @@
     @Override
     public void won(Tenure tenure) {
         shareLimits(true);
-        leader = new Leader(loop, state, cloud, settings, policy, oddities, tenure, election::leads, election::resign);
+        leader = new Leader(
+                loop, state, cloud, workers, settings, policy, oddities, tenure, election::leads, election::resign);
         leader.start();
     }
 
--- a/src/main/java/org/spruceridge/schedule/Matching.java
+++ b/src/main/java/org/spruceridge/schedule/Matching.java
@@ -115,6 +115,7 @@
             return m.fenced()
                     && !m.returning()
                     && !m.suspect()
+                    && !m.tainted()
                     && !m.noticed()
                     && silentS < 2.5 * settings.workers().reportS()
                     && cluster.typeOf(m).isPresent();
--- a/src/main/java/org/spruceridge/worker/Order.java
+++ b/src/main/java/org/spruceridge/worker/Order.java
@@ -36,6 +36,11 @@
 
     /** The answer to a report: the token and the commands. */
     public static Response answer(long token, List<Order> orders) {
+        return Response.of(200, body(token, orders));
+    }
+
+    /** The token and the commands, as they go to a worker. */
+    static ObjectNode body(long token, List<Order> orders) {
         ObjectNode body = Json.object().put("warrant", token);
         ArrayNode list = body.putArray("orders");
         for (Order order : orders) {
@@ -47,7 +52,7 @@
                 node.put("leewayS", order.graceS);
             }
         }
-        return Response.of(200, body);
+        return body;
     }
 
     /** Sends a worker to another node; with no name it tries the next one. */
--- /dev/null
+++ b/src/main/java/org/spruceridge/worker/Push.java
@@ -0,0 +1,21 @@
+package org.spruceridge.worker;
+
+import java.util.Optional;
+
+/**
+ * What came of orders sent straight to a worker.
+ *
+ * @param report what the worker says is there after the orders, or instead of them
+ */
+public record Push(Kind kind, Optional<Report> report) {
+    /** How it ended. */
+    public enum Kind {
+        EXECUTED,
+        /** The worker did nothing: a newer token or another session. */
+        REFUSED,
+        /** It never left this node. */
+        UNSENT,
+        /** No answer: the orders may have been executed, or may be minutes later. */
+        UNKNOWN
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spruceridge/worker/WorkerClient.java
@@ -0,0 +1,49 @@
+package org.spruceridge.worker;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.spruceridge.config.Address;
+import org.spruceridge.net.BadMessageException;
+import org.spruceridge.net.HttpAnswer;
+import org.spruceridge.net.HttpCall;
+import org.spruceridge.net.HttpClient;
+import org.spruceridge.net.Json;
+import org.spruceridge.net.Oddities;
+
+/** Sends orders straight to workers, beside the answers to their reports. */
+public final class WorkerClient {
+    private final HttpClient http;
+    private final Oddities oddities;
+
+    public WorkerClient(HttpClient http, Oddities oddities) {
+        this.http = http;
+        this.oddities = oddities;
+    }
+
+    /** Sends orders for one session of a worker, under a token. */
+    public void push(Address worker, long token, long session, List<Order> orders, long patience, Consumer<Push> done) {
+        ObjectNode body = Order.body(token, orders).put("watch", session);
+        http.call(worker, HttpCall.post("/do", Json.bytes(body)), patience, answer -> done.accept(read(answer)));
+    }
+
+    private Push read(HttpAnswer answer) {
+        try {
+            switch (answer.status()) {
+                case 200:
+                    return new Push(Push.Kind.EXECUTED, Optional.of(Report.read(answer.body())));
+                case 409:
+                    return new Push(Push.Kind.REFUSED, Optional.of(Report.read(answer.body())));
+                case 400:
+                    return new Push(Push.Kind.REFUSED, Optional.empty());
+                default:
+                    Push.Kind kind = answer.sent() ? Push.Kind.UNKNOWN : Push.Kind.UNSENT;
+                    return new Push(kind, Optional.empty());
+            }
+        } catch (BadMessageException e) {
+            oddities.note("unreadable answer of a worker", e.getMessage());
+            return new Push(Push.Kind.UNKNOWN, Optional.empty());
+        }
+    }
+}
--- a/src/test/java/org/spruceridge/sim/SimWorker.java
+++ b/src/test/java/org/spruceridge/sim/SimWorker.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import org.spruceridge.config.Address;
 import org.spruceridge.net.BadMessageException;
 import org.spruceridge.net.HttpAnswer;
@@ -63,6 +64,7 @@
         this.spot = spot;
         this.nodes = world.nodeNames();
         this.leaseFrom = world.loop.nanos();
+        world.net.serve(address(), this::direct);
         report();
         checkLease();
     }
@@ -93,8 +95,30 @@
                 .toList();
     }
 
+    private Address address() {
+        return new Address("10.1.0." + name, 9000);
+    }
+
+    private void direct(HttpCall call, Consumer<HttpAnswer> answer) {
+        try {
+            JsonNode body = Json.object(call.body());
+            boolean valid = Json.whole(body, "warrant") >= token && Json.whole(body, "watch") == session;
+            if (valid) {
+                token = Json.whole(body, "warrant");
+                for (JsonNode order : Json.list(body, "orders")) {
+                    execute(order);
+                }
+            }
+            sequence++;
+            answer.accept(new HttpAnswer(valid ? 200 : 409, Json.bytes(body())));
+        } catch (BadMessageException e) {
+            throw new AssertionError(e);
+        }
+    }
+
     void kill() {
         process.kill();
+        world.net.remove(address());
         tasks.values().forEach(t -> world.ended(t.part, name));
         tasks.clear();
     }
@@ -140,7 +164,7 @@
     private ObjectNode body() {
         ObjectNode out = Json.object()
                 .put("host", name)
-                .put("endpoint", "10.1.0.1:9000")
+                .put("endpoint", address().toString())
                 .put("build", "t8")
                 .put("grove", zone)
                 .put("windfall", spot)
--- a/src/test/java/org/spruceridge/story/FailureStoriesTest.java
+++ b/src/test/java/org/spruceridge/story/FailureStoriesTest.java
@@ -34,14 +34,19 @@
 
     @Test
     void aLeaderDiesBetweenTheCommitAndTheOrder() {
-        // No worker hears anything until the binding is on record and its leader is gone.
         until(() -> world.leader() != null, 10);
+        // The binding is committed, but its leader dies before it hears of that.
+        world.net.weather(
+                (from, to, call) -> call.target().equals("/txn") && new String(call.body()).contains("machine/")
+                        ? Fate.ANSWER_LOST
+                        : Fate.DELIVERED);
         world.submit(World.job(1, 1));
         until(() -> !world.cloud.workers().isEmpty(), 30);
         String first = world.leader();
         until(() -> bound("j-000001"), 30);
         assertTrue(world.starts().isEmpty(), "the start must come after the commit");
         world.crash(first);
+        world.net.clear();
         until(() -> world.poll("j-000001").equals("done"), 60);
         assertEquals(1, world.starts().size());
     }
@@ -235,6 +240,40 @@
         assertEquals(leader, world.leader());
     }
 
+    @Test
+    void aStartThatArrivesMinutesLateStartsNothingAgain() {
+        until(() -> world.leader() != null, 10);
+        world.net.weather((from, to, call) -> call.target().equals("/do") ? Fate.HELD : Fate.DELIVERED);
+        world.submit(World.job(1, 1).put("expectS", 3.0));
+        world.submit(World.job(2, 1).put("expectS", 60.0));
+        until(() -> world.poll("j-000001").equals("done"), 60);
+        assertEquals(1, world.running().size(), "the other task is still on the machine");
+        world.loop.run(6);
+        assertTrue(world.net.held() > 0);
+        world.net.clear();
+        world.net.letGo();
+        until(() -> world.poll("j-000002").equals("done"), 120);
+        assertEquals(2, world.starts().size(), "each started once, by the answer to a report");
+    }
+
+    @Test
+    void aStartOnItsWayToACancelledJobCostsTheMachine() {
+        until(() -> world.leader() != null, 10);
+        world.submit(World.job(1, 1).put("expectS", 3.0));
+        until(() -> world.poll("j-000001").equals("done"), 60);
+        world.net.weather((from, to, call) ->
+                call.target().equals("/do") ? Fate.HELD : from.startsWith("i-") ? Fate.ANSWER_LOST : Fate.DELIVERED);
+        world.submit(World.job(2, 1).put("expectS", 60.0));
+        until(() -> world.net.held() > 0, 20);
+        world.ask(world.follower(), "POST", "/api/jobs/j-000002/abort", (JsonNode) null);
+        world.loop.run(World.CANCEL_S);
+        assertFalse(bound("j-000002"));
+        world.net.letGo();
+        world.net.clear();
+        world.loop.run(20);
+        assertEquals(1, world.starts().size());
+    }
+
     @Test
     void aMachineThatDiesIsReplacedAndItsTaskRunsAgain() {
         until(() -> world.leader() != null, 10);
