--- a/src/main/java/org/spruceridge/cluster/Room.java
+++ b/src/main/java/org/spruceridge/cluster/Room.java
@@ -19,6 +19,11 @@
         return cpus <= room.cpus + SLACK && gpus <= room.gpus + SLACK && memGb <= room.memGb + SLACK;
     }
 
+    /** The smaller of two amounts, each for itself. */
+    public Room least(Room other) {
+        return new Room(Math.min(cpus, other.cpus), Math.min(gpus, other.gpus), Math.min(memGb, other.memGb));
+    }
+
     /** How many tasks of the given size go in. */
     public int holds(Room task) {
         double n = Integer.MAX_VALUE;
--- a/src/main/java/org/spruceridge/config/Policy.java
+++ b/src/main/java/org/spruceridge/config/Policy.java
@@ -18,7 +18,7 @@
     public record Weights(double deadline, double overhead, double waiting, double aging) {}
 
     /** How far apart rounds are, against the workers' report period, and the least remaining time that the scores assume. */
-    public record Rounds(double spacingOfReport, double remainingFloorS) {}
+    public record Rounds(double spacingOfReport, double remainingFloorS, double heldShare) {}
 
     /** How often a running task of one machine may be stopped for a waiting one. */
     public record Stops(double perMachineS) {}
@@ -33,7 +33,7 @@
     public static Policy defaults() {
         return new Policy(
                 new Weights(15, 40, 8, 5),
-                new Rounds(0.1, 10),
+                new Rounds(0.1, 10, 0.25),
                 new Stops(60),
                 new Leading(0.3, 5),
                 new FleetRatios(1.5, 4, 0.5));
@@ -73,10 +73,11 @@
         Rounds rounds = d.rounds;
         if (top.has("rounds")) {
             Fields f = top.object("rounds");
-            f.onlyThese(ImmutableSet.of("spacing_of_report", "remaining_floor_s"));
+            f.onlyThese(ImmutableSet.of("spacing_of_report", "remaining_floor_s", "held_share"));
             rounds = new Rounds(
                     f.positiveOr("spacing_of_report", rounds.spacingOfReport),
-                    f.positiveOr("remaining_floor_s", rounds.remainingFloorS));
+                    f.positiveOr("remaining_floor_s", rounds.remainingFloorS),
+                    f.atLeastZeroOr("held_share", rounds.heldShare));
         }
         Stops stops = d.stops;
         if (top.has("stops")) {
--- a/src/main/java/org/spruceridge/schedule/Matching.java
+++ b/src/main/java/org/spruceridge/schedule/Matching.java
@@ -30,6 +30,7 @@
 public final class Matching {
     private final Settings settings;
     private final Policy policy;
+    private final Estimates estimates;
     private final PriorityMatrix matrix;
     private final int mostBindings;
 
@@ -38,8 +39,8 @@
         this.settings = settings;
         this.policy = policy;
         this.mostBindings = mostBindings;
-        this.matrix = new PriorityMatrix(
-                policy.weights(), new Estimates(policy.rounds().remainingFloorS()));
+        this.estimates = new Estimates(policy.rounds().remainingFloorS());
+        this.matrix = new PriorityMatrix(policy.weights(), estimates);
     }
 
     /** Plans one round. */
@@ -58,6 +59,7 @@
         private final Map<Job, Map<String, Integer>> zones = new HashMap<>();
         private final Map<Job, Integer> nextIndex = new HashMap<>();
         private final Map<Job, Integer> left = new HashMap<>();
+        private final Set<Machine> held = new HashSet<>();
         private final List<Placement> placements = new ArrayList<>();
 
         Round(Cluster cluster, long now, long wallMs) {
@@ -100,6 +102,10 @@
                     tied.add(e.machine());
                 }
                 bindAll(first.candidate().job(), tied);
+                boolean lastOfRow = i == entries.size() || entries.get(i).candidate() != first.candidate();
+                if (lastOfRow && left.get(first.candidate().job()) > 0) {
+                    hold(first.candidate());
+                }
             }
             List<Binding> stops = new Stopping().run(entries);
             return new Plan(ImmutableList.copyOf(placements), ImmutableList.copyOf(stops), unplaced());
@@ -142,6 +148,48 @@
             }
         }
 
+        /**
+         * Keeps what is free on the machines that will have room soonest for tasks of this row, out of the reach of
+         * rows of a lower score: else each slot that falls free goes to a smaller task and large ones never run.
+         */
+        private void hold(Candidate c) {
+            Job job = c.job();
+            int wanted = Math.min(left.get(job), teamHolds(job.spec()));
+            int most = (int) Math.ceil(free.size() * policy.rounds().heldShare());
+            for (int n = 0; n < wanted && held.size() < most; n++) {
+                Optional<Machine> soonest = free.keySet().stream()
+                        .filter(m -> !held.contains(m) && eligible(c, m) && zoneAllowed(job, m.zone()))
+                        .filter(m -> roomInS(m, job.spec().task()) < Double.MAX_VALUE)
+                        .min(Comparator.comparingDouble(
+                                m -> roomInS(m, job.spec().task())));
+                if (soonest.isEmpty()) {
+                    return;
+                }
+                held.add(soonest.get());
+                free.computeIfPresent(
+                        soonest.get(),
+                        (m, room) -> room.minus(room.least(job.spec().task())));
+            }
+        }
+
+        /** Seconds until the tasks on the machine will have left enough room, by their estimates. */
+        private double roomInS(Machine m, Room task) {
+            List<Binding> bySoonest = new ArrayList<>(m.bindings());
+            bySoonest.sort(Comparator.comparingDouble(this::remainingS));
+            Room room = free.get(m);
+            for (Binding b : bySoonest) {
+                room = room.plus(b.job().spec().task());
+                if (task.fitsIn(room)) {
+                    return remainingS(b);
+                }
+            }
+            return Double.MAX_VALUE;
+        }
+
+        private double remainingS(Binding b) {
+            return estimates.remainingS(candidate(b.job(), b.elapsedS(now)), b.machine());
+        }
+
         private boolean fits(Job job, Machine m) {
             JobSpec spec = job.spec();
             return spec.task().fitsIn(free.get(m))
