--- a/src/main/java/org/spruceridge/fleet/Demand.java
+++ b/src/main/java/org/spruceridge/fleet/Demand.java
@@ -44,6 +44,11 @@
         bins.add(new Bin(new Offer(machine.type(), machine.zone(), machine.spot()), cluster.free(machine), machine));
     }
 
+    /** Room that will have fallen free on a machine by the time a new one would be up. */
+    void addFreed(Machine machine, Room freed) {
+        bins.add(new Bin(new Offer(machine.type(), machine.zone(), machine.spot()), freed, machine));
+    }
+
     /** Room on a machine that was asked for. */
     void add(Offer offer) {
         MachineType type = cluster.types().get(offer.type());
--- a/src/main/java/org/spruceridge/fleet/Fleet.java
+++ b/src/main/java/org/spruceridge/fleet/Fleet.java
@@ -20,6 +20,7 @@
 import org.spruceridge.cluster.Cluster;
 import org.spruceridge.cluster.Machine;
 import org.spruceridge.cluster.MachineType;
+import org.spruceridge.cluster.Room;
 import org.spruceridge.config.Policy;
 import org.spruceridge.config.Settings;
 import org.spruceridge.net.Loop;
@@ -241,6 +242,9 @@
                 demand.add(claim.offer);
             }
         }
+        for (Machine m : here) {
+            demand.addFreed(m, freedWithinBoot(m, now));
+        }
         plan.unplaced().forEach((job, count) -> demand.place(job.spec(), count));
         here.forEach(demand::add); // standing by may count on room that the round left free
         standby.wanted(cluster, now, demand::place);
@@ -248,6 +252,20 @@
         returnIdle(demand.kept(), now);
     }
 
+    /** What the tasks of a machine will leave free sooner than another machine can boot, by their estimates. */
+    private Room freedWithinBoot(Machine m, long now) {
+        double bootS = cluster.typeOf(m).map(MachineType::bootS).orElse(0.0);
+        Room freed = Room.NONE;
+        for (Binding b : m.bindings()) {
+            double remainingS = b.job().spec().estimateS() - b.elapsedS(now);
+            boolean runs = b.phase() == Binding.Phase.RUNNING;
+            if (b.phase() == Binding.Phase.ENDED || (runs && remainingS < bootS)) {
+                freed = freed.plus(b.job().spec().task());
+            }
+        }
+        return freed;
+    }
+
     private boolean comingSoon(Machine m, long now) {
         double bootS = cluster.typeOf(m).map(MachineType::bootS).orElse(0.0);
         return secondsSince(m.bornAt(), now) < 2 * bootS
--- a/src/main/java/org/spruceridge/lead/Leader.java
+++ b/src/main/java/org/spruceridge/lead/Leader.java
@@ -111,6 +111,7 @@
             ready = true;
             watch.start(revision);
             fleet.start();
+            new Summary(scope, cluster, ledger, tenure).start();
             tick();
         });
     }
--- /dev/null
+++ b/src/main/java/org/spruceridge/lead/Summary.java
@@ -0,0 +1,73 @@
+package org.spruceridge.lead;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.spruceridge.cluster.Cluster;
+import org.spruceridge.cluster.Job;
+import org.spruceridge.cluster.Machine;
+import org.spruceridge.cluster.MachineType;
+import org.spruceridge.net.Scope;
+import org.spruceridge.net.Times;
+
+/** Says in one log line, once in a while, how the cluster stands: for whoever is on call. */
+final class Summary {
+    private static final Logger LOG = LoggerFactory.getLogger(Summary.class);
+    private static final long EVERY = Times.nanos(15);
+
+    private final Scope scope;
+    private final Cluster cluster;
+    private final Ledger ledger;
+    private final long term;
+
+    Summary(Scope scope, Cluster cluster, Ledger ledger, Tenure tenure) {
+        this.scope = scope;
+        this.cluster = cluster;
+        this.ledger = ledger;
+        this.term = tenure.term();
+    }
+
+    void start() {
+        log();
+        scope.after(EVERY, this::start);
+    }
+
+    private void log() {
+        int waiting = 0;
+        for (Job job : cluster.jobs()) {
+            waiting += job.waiting();
+        }
+        int spot = 0;
+        int ordinary = 0;
+        int coming = 0;
+        int idle = 0;
+        int leaving = 0;
+        double cpus = 0;
+        double bound = 0;
+        for (Machine m : cluster.machines()) {
+            if (!m.everHeard()) {
+                coming++;
+                continue;
+            }
+            spot += m.spot() ? 1 : 0;
+            ordinary += m.spot() ? 0 : 1;
+            idle += m.bindings().isEmpty() ? 1 : 0;
+            leaving += m.returning() || m.noticed() || m.suspect() ? 1 : 0;
+            cpus += cluster.typeOf(m).map(MachineType::room).map(r -> r.cpus()).orElse(0.0);
+            bound += m.used().cpus();
+        }
+        LOG.info(
+                "term {}: {} jobs, {} tasks waiting; machines: {} ordinary, {} spot, {} coming, {} idle, {} leaving;"
+                        + " {} of {} CPUs bound; {} writes waiting",
+                term,
+                cluster.jobs().size(),
+                waiting,
+                ordinary,
+                spot,
+                coming,
+                idle,
+                leaving,
+                Math.round(bound),
+                Math.round(cpus),
+                ledger.backlog());
+    }
+}
