--- a/src/main/java/org/spruceridge/schedule/Heuristic.java
+++ b/src/main/java/org/spruceridge/schedule/Heuristic.java
@@ -1,5 +1,6 @@
 package org.spruceridge.schedule;
 
+import java.util.function.ToDoubleFunction;
 import org.spruceridge.cluster.Machine;
 
 /** One term of the sum: a value in [0, 1] for a candidate on a machine. */
@@ -11,7 +12,8 @@
      * A candidate with the figures that its terms share.
      *
      * @param urgency the mean of {@link Deadline#urgency} over all machines that can run it (equation 7)
-     * @param longestS the longest remaining time over its row (of equation 12)
+     * @param longestS the longest remaining time of all candidates (of equation 12)
+     * @param prices what a machine costs, as a share of the dearest in the matrix
      */
-    record Row(Candidate candidate, double urgency, double longestS) {}
+    record Row(Candidate candidate, double urgency, double longestS, ToDoubleFunction<Machine> prices) {}
 }
--- a/src/main/java/org/spruceridge/schedule/Matching.java
+++ b/src/main/java/org/spruceridge/schedule/Matching.java
@@ -85,8 +85,8 @@
                     left.put(job, job.waiting());
                 }
             }
-            List<PriorityMatrix.Entry> entries =
-                    matrix.entries(waiting.build(), ImmutableList.copyOf(free.keySet()), this::eligible);
+            List<PriorityMatrix.Entry> entries = matrix.entries(
+                    waiting.build(), ImmutableList.copyOf(free.keySet()), this::eligible, this::pricePerCpu);
             entries.sort(Comparator.comparingDouble((PriorityMatrix.Entry e) -> -e.score())
                     .thenComparingLong(e -> e.candidate().job().submittedMs())
                     .thenComparing(e -> e.candidate().job().id()));
@@ -116,6 +116,12 @@
                     job, elapsedS, (wallMs - job.submittedMs()) / 1000.0, (job.deadlineMs() - wallMs) / 1000.0);
         }
 
+        private double pricePerCpu(Machine m) {
+            return cluster.typeOf(m)
+                    .map(t -> t.price(m.spot()) / t.room().cpus())
+                    .orElse(0.0);
+        }
+
         private boolean usable(Machine m) {
             double silentS = (now - m.lastHeard()) / 1e9;
             return m.fenced()
--- a/src/main/java/org/spruceridge/schedule/PriorityMatrix.java
+++ b/src/main/java/org/spruceridge/schedule/PriorityMatrix.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BiPredicate;
+import java.util.function.ToDoubleFunction;
 import org.spruceridge.cluster.Machine;
 import org.spruceridge.config.Policy.Weights;
 
@@ -22,14 +23,18 @@
                 new Deadline(), weights.deadline(),
                 new Overhead(), weights.overhead(),
                 new Wait(), weights.waiting(),
-                new Aging(), weights.aging());
+                new Aging(), weights.aging(),
+                new Thrift(), weights.thrift());
     }
 
     /** All entries; {@code eligible} is the Minimal requirements heuristic, a filter before any score. */
     public List<Entry> entries(
             ImmutableList<Candidate> candidates,
             ImmutableList<Machine> machines,
-            BiPredicate<Candidate, Machine> eligible) {
+            BiPredicate<Candidate, Machine> eligible,
+            ToDoubleFunction<Machine> prices) {
+        double dearest = machines.stream().mapToDouble(prices).max().orElse(0);
+        ToDoubleFunction<Machine> shares = m -> dearest > 0 ? prices.applyAsDouble(m) / dearest : 1;
         double longestS = 0;
         List<List<Machine>> rows = new ArrayList<>();
         for (Candidate c : candidates) {
@@ -44,17 +49,18 @@
         }
         List<Entry> entries = new ArrayList<>();
         for (int i = 0; i < candidates.size(); i++) {
-            score(candidates.get(i), rows.get(i), longestS, entries);
+            score(candidates.get(i), rows.get(i), longestS, shares, entries);
         }
         return entries;
     }
 
-    private void score(Candidate c, List<Machine> row, double longestS, List<Entry> entries) {
+    private void score(
+            Candidate c, List<Machine> row, double longestS, ToDoubleFunction<Machine> prices, List<Entry> entries) {
         double urgency = 0;
         for (Machine m : row) {
             urgency += Deadline.urgency(c.slackS(), estimates.remainingS(c, m));
         }
-        Heuristic.Row shared = new Heuristic.Row(c, row.isEmpty() ? 0 : urgency / row.size(), longestS);
+        Heuristic.Row shared = new Heuristic.Row(c, row.isEmpty() ? 0 : urgency / row.size(), longestS, prices);
         for (Machine m : row) {
             double remainingS = estimates.remainingS(c, m);
             double sum = 0;
