--- a/src/main/java/org/spruceridge/config/Policy.java
+++ b/src/main/java/org/spruceridge/config/Policy.java
@@ -36,7 +36,7 @@
                 new Rounds(0.1, 10, 0.25),
                 new Stops(60),
                 new Leading(0.3, 5),
-                new FleetRatios(1.5, 4, 0.5));
+                new FleetRatios(0.75, 4, 0.5));
     }
 
     /** Reads and checks a policy file; what it leaves out keeps its default. */
--- a/src/main/java/org/spruceridge/fleet/Fleet.java
+++ b/src/main/java/org/spruceridge/fleet/Fleet.java
@@ -331,7 +331,7 @@
             }
             double bootS = cluster.typeOf(m).map(MachineType::bootS).orElse(0.0);
             boolean useless = m.suspect() || m.noticed() || m.tainted();
-            boolean idleLong = secondsSince(m.idleSince(), now) > policy.fleet().idleOfBoot() * bootS
+            boolean idleLong = secondsSince(m.idleSince(), now) > policy.fleet().idleOfBoot() * bootS * cheapness(m)
                     && secondsSince(m.bornAt(), now) > LEAST_PAID_S;
             if (useless || (idleLong && !kept.contains(m))) {
                 idle.add(m);
@@ -342,6 +342,13 @@
         }
     }
 
+    /** The lowest price of a machine's type against its own: the dearer it is, the sooner it is given back. */
+    private double cheapness(Machine m) {
+        return cluster.typeOf(m)
+                .map(t -> Math.min(t.price(), t.spotPrice()) / t.price(m.spot()))
+                .orElse(1.0);
+    }
+
     /** A start of a cancelled job may still be on its way to this machine: only its end makes sure. */
     private static boolean lateStartMayHarm(Machine m) {
         return m.tainted()
