--- a/src/main/java/org/spruceridge/fleet/Fleet.java
+++ b/src/main/java/org/spruceridge/fleet/Fleet.java
@@ -83,7 +83,7 @@
         this.leads = leads;
         this.lastPlan = lastPlan;
         this.changed = changed;
-        this.standby = new Standby(settings);
+        this.standby = new Standby(settings, loop.nanos());
     }
 
     public void start() {
@@ -333,7 +333,7 @@
             boolean useless = m.suspect() || m.noticed() || m.tainted();
             boolean idleLong = secondsSince(m.idleSince(), now) > policy.fleet().idleOfBoot() * bootS * cheapness(m)
                     && secondsSince(m.bornAt(), now) > LEAST_PAID_S;
-            if (useless || (idleLong && !kept.contains(m))) {
+            if (useless || (idleLong && !kept.contains(m) && !standby.learning(cluster, now))) {
                 idle.add(m);
             }
         }
--- a/src/main/java/org/spruceridge/fleet/Standby.java
+++ b/src/main/java/org/spruceridge/fleet/Standby.java
@@ -19,20 +19,40 @@
     private static final double MEMORY_OF_BOOT = 15;
 
     private final Settings settings;
+    private final long since;
     private final Map<String, Peak> peaks = new HashMap<>();
 
-    Standby(Settings settings) {
+    Standby(Settings settings, long now) {
         this.settings = settings;
+        this.since = now;
     }
 
-    /** Hands on, for each such class, a job of it and how many of its tasks should find room. */
-    void wanted(Cluster cluster, long now, BiConsumer<JobSpec, Integer> take) {
-        double bootS = cluster.types().values().stream()
+    /**
+     * True while a new leader has not watched for long enough to know how much room such classes need: it must not
+     * return what its predecessor kept for them.
+     */
+    boolean learning(Cluster cluster, long now) {
+        double bootS = bootS(cluster);
+        return settings.objectives().stream().anyMatch(aim -> needsRoom(aim, bootS))
+                && now - since < Times.nanos(MEMORY_OF_BOOT * bootS);
+    }
+
+    private static double bootS(Cluster cluster) {
+        return cluster.types().values().stream()
                 .mapToDouble(MachineType::bootS)
                 .min()
                 .orElse(0);
+    }
+
+    private static boolean needsRoom(Settings.Objective aim, double bootS) {
+        return aim.kind().equals("wait") && aim.withinS() < bootS;
+    }
+
+    /** Hands on, for each such class, a job of it and how many of its tasks should find room. */
+    void wanted(Cluster cluster, long now, BiConsumer<JobSpec, Integer> take) {
+        double bootS = bootS(cluster);
         for (Settings.Objective aim : settings.objectives()) {
-            if (!aim.kind().equals("wait") || aim.withinS() >= bootS) {
+            if (!needsRoom(aim, bootS)) {
                 continue;
             }
             int unfinished = 0;
