--- a/src/main/java/org/spruceridge/config/Policy.java
+++ b/src/main/java/org/spruceridge/config/Policy.java
@@ -14,8 +14,9 @@
  */
 public record Policy(Weights weights, Rounds rounds, Stops stops, Leading leading, FleetRatios fleet) {
 
-    /** The document's weights, and that of the term which prefers cheap machines. */
-    public record Weights(double deadline, double overhead, double waiting, double aging, double thrift) {}
+    /** The document's weights, and those of our own terms. */
+    public record Weights(
+            double deadline, double overhead, double waiting, double aging, double thrift, double presence) {}
 
     /** How far apart rounds are, against the workers' report period, and the least remaining time that the scores assume. */
     public record Rounds(double spacingOfReport, double remainingFloorS, double heldShare) {}
@@ -32,7 +33,7 @@
     /** The values that the program starts with. */
     public static Policy defaults() {
         return new Policy(
-                new Weights(15, 40, 8, 5, 1),
+                new Weights(15, 40, 8, 5, 1, 15),
                 new Rounds(0.1, 10, 0.25),
                 new Stops(60),
                 new Leading(0.3, 5),
@@ -63,13 +64,14 @@
         Weights weights = d.weights;
         if (top.has("weights")) {
             Fields f = top.object("weights");
-            f.onlyThese(ImmutableSet.of("deadline", "overhead", "wait", "aging", "thrift"));
+            f.onlyThese(ImmutableSet.of("deadline", "overhead", "wait", "aging", "thrift", "presence"));
             weights = new Weights(
                     f.atLeastZeroOr("deadline", weights.deadline),
                     f.atLeastZeroOr("overhead", weights.overhead),
                     f.atLeastZeroOr("wait", weights.waiting),
                     f.atLeastZeroOr("aging", weights.aging),
-                    f.atLeastZeroOr("thrift", weights.thrift));
+                    f.atLeastZeroOr("thrift", weights.thrift),
+                    f.atLeastZeroOr("presence", weights.presence));
         }
         Rounds rounds = d.rounds;
         if (top.has("rounds")) {
--- a/src/main/java/org/spruceridge/lead/ReportDesk.java
+++ b/src/main/java/org/spruceridge/lead/ReportDesk.java
@@ -127,6 +127,9 @@
             }
             return;
         }
+        JobSpec spec = b.job().spec();
+        cluster.typeOf(b.machine())
+                .ifPresent(type -> b.machine().sawImage(spec.image(), spec.imageGb(), type.cacheGb()));
         switch (seen.state()) {
             case FETCHING -> b.phase(Binding.Phase.FETCHING, now);
             case RUNNING -> b.phase(Binding.Phase.RUNNING, now);
--- a/src/main/java/org/spruceridge/schedule/Matching.java
+++ b/src/main/java/org/spruceridge/schedule/Matching.java
@@ -86,7 +86,11 @@
                 }
             }
             List<PriorityMatrix.Entry> entries = matrix.entries(
-                    waiting.build(), ImmutableList.copyOf(free.keySet()), this::eligible, this::pricePerCpu);
+                    waiting.build(),
+                    ImmutableList.copyOf(free.keySet()),
+                    this::eligible,
+                    this::pricePerCpu,
+                    this::fetchGbPerS);
             entries.sort(Comparator.comparingDouble((PriorityMatrix.Entry e) -> -e.score())
                     .thenComparingLong(e -> e.candidate().job().submittedMs())
                     .thenComparing(e -> e.candidate().job().id()));
@@ -116,6 +120,10 @@
                     job, elapsedS, (wallMs - job.submittedMs()) / 1000.0, (job.deadlineMs() - wallMs) / 1000.0);
         }
 
+        private double fetchGbPerS(Machine m) {
+            return cluster.typeOf(m).map(MachineType::fetchGbPerS).orElse(1.0);
+        }
+
         private double pricePerCpu(Machine m) {
             return cluster.typeOf(m)
                     .map(t -> t.price(m.spot()) / t.room().cpus())
--- a/src/main/java/org/spruceridge/schedule/PriorityMatrix.java
+++ b/src/main/java/org/spruceridge/schedule/PriorityMatrix.java
@@ -24,7 +24,8 @@
                 new Overhead(), weights.overhead(),
                 new Wait(), weights.waiting(),
                 new Aging(), weights.aging(),
-                new Thrift(), weights.thrift());
+                new Thrift(), weights.thrift(),
+                new Presence(), weights.presence());
     }
 
     /** All entries; {@code eligible} is the Minimal requirements heuristic, a filter before any score. */
@@ -32,7 +33,8 @@
             ImmutableList<Candidate> candidates,
             ImmutableList<Machine> machines,
             BiPredicate<Candidate, Machine> eligible,
-            ToDoubleFunction<Machine> prices) {
+            ToDoubleFunction<Machine> prices,
+            ToDoubleFunction<Machine> fetchGbPerS) {
         double dearest = machines.stream().mapToDouble(prices).max().orElse(0);
         ToDoubleFunction<Machine> shares = m -> dearest > 0 ? prices.applyAsDouble(m) / dearest : 1;
         double longestS = 0;
@@ -49,18 +51,24 @@
         }
         List<Entry> entries = new ArrayList<>();
         for (int i = 0; i < candidates.size(); i++) {
-            score(candidates.get(i), rows.get(i), longestS, shares, entries);
+            score(candidates.get(i), rows.get(i), longestS, shares, fetchGbPerS, entries);
         }
         return entries;
     }
 
     private void score(
-            Candidate c, List<Machine> row, double longestS, ToDoubleFunction<Machine> prices, List<Entry> entries) {
+            Candidate c,
+            List<Machine> row,
+            double longestS,
+            ToDoubleFunction<Machine> prices,
+            ToDoubleFunction<Machine> fetchGbPerS,
+            List<Entry> entries) {
         double urgency = 0;
         for (Machine m : row) {
             urgency += Deadline.urgency(c.slackS(), estimates.remainingS(c, m));
         }
-        Heuristic.Row shared = new Heuristic.Row(c, row.isEmpty() ? 0 : urgency / row.size(), longestS, prices);
+        Heuristic.Row shared =
+                new Heuristic.Row(c, row.isEmpty() ? 0 : urgency / row.size(), longestS, prices, fetchGbPerS);
         for (Machine m : row) {
             double remainingS = estimates.remainingS(c, m);
             double sum = 0;
