--- a/src/main/java/org/spruceridge/cloud/CloudClient.java
+++ b/src/main/java/org/spruceridge/cloud/CloudClient.java
@@ -132,7 +132,6 @@
                                         Json.number(item, "cpus"),
                                         Json.number(item, "accelerators"),
                                         Json.number(item, "memGb")),
-                                Json.number(item, "localGb"),
                                 Json.number(item, "fetchGbPerS"),
                                 Json.number(item, "rate"),
                                 Json.number(item, "lowPrice"),
--- a/src/main/java/org/spruceridge/cluster/Machine.java
+++ b/src/main/java/org/spruceridge/cluster/Machine.java
@@ -2,7 +2,6 @@
 
 import java.util.Collection;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
@@ -30,7 +29,6 @@
     private boolean suspect;
     private final Set<Long> unresolved = new HashSet<>();
     private boolean tainted;
-    private final Map<String, Double> images = new LinkedHashMap<>();
     private long idleSince;
     private long lastStop = Long.MIN_VALUE;
     private long lastListed = Long.MIN_VALUE;
@@ -89,23 +87,6 @@
         }
     }
 
-    /** True if the machine is known to have the image, or to be fetching it. */
-    public boolean hasImage(String image) {
-        return images.containsKey(image);
-    }
-
-    /** A task with this image was seen here; the least recently used images go when the cache is full. */
-    public void sawImage(String image, double gb, double cacheGb) {
-        images.remove(image);
-        images.put(image, gb);
-        double held = images.values().stream().mapToDouble(Double::doubleValue).sum();
-        Iterator<Map.Entry<String, Double>> oldest = images.entrySet().iterator();
-        while (held > cacheGb && images.size() > 1) {
-            held -= oldest.next().getValue();
-            oldest.remove();
-        }
-    }
-
     /** What all bindings of the machine take together. */
     public Room used() {
         Room sum = Room.NONE;
--- a/src/main/java/org/spruceridge/cluster/MachineType.java
+++ b/src/main/java/org/spruceridge/cluster/MachineType.java
@@ -6,7 +6,6 @@
 public record MachineType(
         String name,
         Room room,
-        double cacheGb,
         double fetchGbPerS,
         double price,
         double spotPrice,
--- a/src/main/java/org/spruceridge/config/Policy.java
+++ b/src/main/java/org/spruceridge/config/Policy.java
@@ -16,7 +16,13 @@
 
     /** The document's weights, and those of our own terms. */
     public record Weights(
-            double deadline, double overhead, double waiting, double aging, double thrift, double presence) {}
+            double deadline,
+            double overhead,
+            double waiting,
+            double aging,
+            double thrift,
+            double presence,
+            double packing) {}
 
     /** How far apart rounds are, against the workers' report period, and the least remaining time that the scores assume. */
     public record Rounds(double spacingOfReport, double remainingFloorS, double heldShare) {}
@@ -33,7 +39,7 @@
     /** The values that the program starts with. */
     public static Policy defaults() {
         return new Policy(
-                new Weights(15, 40, 8, 5, 1, 15),
+                new Weights(15, 40, 8, 5, 1, 3),
                 new Rounds(0.1, 10, 0.25),
                 new Stops(60),
                 new Leading(0.3, 5),
@@ -64,14 +70,15 @@
         Weights weights = d.weights;
         if (top.has("weights")) {
             Fields f = top.object("weights");
-            f.onlyThese(ImmutableSet.of("deadline", "overhead", "wait", "aging", "thrift", "presence"));
+            f.onlyThese(ImmutableSet.of("deadline", "overhead", "wait", "aging", "thrift", "packing"));
             weights = new Weights(
                     f.atLeastZeroOr("deadline", weights.deadline),
                     f.atLeastZeroOr("overhead", weights.overhead),
                     f.atLeastZeroOr("wait", weights.waiting),
                     f.atLeastZeroOr("aging", weights.aging),
                     f.atLeastZeroOr("thrift", weights.thrift),
-                    f.atLeastZeroOr("presence", weights.presence));
+                    f.atLeastZeroOr(weights.presence),
+                    f.atLeastZeroOr("packing", weights.packing));
         }
         Rounds rounds = d.rounds;
         if (top.has("rounds")) {
--- a/src/main/java/org/spruceridge/lead/ReportDesk.java
+++ b/src/main/java/org/spruceridge/lead/ReportDesk.java
@@ -127,12 +127,19 @@
             }
             return;
         }
-        JobSpec spec = b.job().spec();
-        cluster.typeOf(b.machine())
-                .ifPresent(type -> b.machine().sawImage(spec.image(), spec.imageGb(), type.cacheGb()));
         switch (seen.state()) {
             case FETCHING -> b.phase(Binding.Phase.FETCHING, now);
-            case RUNNING -> b.phase(Binding.Phase.RUNNING, now);
+            case RUNNING -> {
+                if (b.phase() != Binding.Phase.RUNNING) {
+                    LOG.debug(
+                            "{} of {} runs {} s after its submission, {} s after it was bound",
+                            b,
+                            b.job().spec().jobClass(),
+                            (loop.wallMillis() - b.job().submittedMs()) / 1000.0,
+                            Times.seconds(now - b.boundAt()));
+                }
+                b.phase(Binding.Phase.RUNNING, now);
+            }
             case SAVING -> b.phase(Binding.Phase.SAVING, now);
             case EXITED -> exited(b, seen.cause(), now);
         }
--- a/src/main/java/org/spruceridge/schedule/Heuristic.java
+++ b/src/main/java/org/spruceridge/schedule/Heuristic.java
@@ -14,12 +14,12 @@
      * @param urgency the mean of {@link Deadline#urgency} over all machines that can run it (equation 7)
      * @param longestS the longest remaining time of all candidates (of equation 12)
      * @param prices what a machine costs, as a share of the dearest in the matrix
-     * @param fetchGbPerS how fast a machine fetches images
+     * @param fullness the share of a machine's CPUs that is taken
      */
     record Row(
             Candidate candidate,
             double urgency,
             double longestS,
             ToDoubleFunction<Machine> prices,
-            ToDoubleFunction<Machine> fetchGbPerS) {}
+            ToDoubleFunction<Machine> fullness) {}
 }
--- a/src/main/java/org/spruceridge/schedule/Matching.java
+++ b/src/main/java/org/spruceridge/schedule/Matching.java
@@ -90,7 +90,7 @@
                     ImmutableList.copyOf(free.keySet()),
                     this::eligible,
                     this::pricePerCpu,
-                    this::fetchGbPerS);
+                    this::fullness);
             entries.sort(Comparator.comparingDouble((PriorityMatrix.Entry e) -> -e.score())
                     .thenComparingLong(e -> e.candidate().job().submittedMs())
                     .thenComparing(e -> e.candidate().job().id()));
@@ -120,8 +120,8 @@
                     job, elapsedS, (wallMs - job.submittedMs()) / 1000.0, (job.deadlineMs() - wallMs) / 1000.0);
         }
 
-        private double fetchGbPerS(Machine m) {
-            return cluster.typeOf(m).map(MachineType::fetchGbPerS).orElse(1.0);
+        private double fullness(Machine m) {
+            return 1 - free.get(m).cpus() / cluster.types().get(m.type()).room().cpus();
         }
 
         private double pricePerCpu(Machine m) {
--- a/src/main/java/org/spruceridge/schedule/PriorityMatrix.java
+++ b/src/main/java/org/spruceridge/schedule/PriorityMatrix.java
@@ -25,7 +25,7 @@
                 new Wait(), weights.waiting(),
                 new Aging(), weights.aging(),
                 new Thrift(), weights.thrift(),
-                new Presence(), weights.presence());
+                new Packing(), weights.packing());
     }
 
     /** All entries; {@code eligible} is the Minimal requirements heuristic, a filter before any score. */
@@ -34,7 +34,7 @@
             ImmutableList<Machine> machines,
             BiPredicate<Candidate, Machine> eligible,
             ToDoubleFunction<Machine> prices,
-            ToDoubleFunction<Machine> fetchGbPerS) {
+            ToDoubleFunction<Machine> fullness) {
         double dearest = machines.stream().mapToDouble(prices).max().orElse(0);
         ToDoubleFunction<Machine> shares = m -> dearest > 0 ? prices.applyAsDouble(m) / dearest : 1;
         double longestS = 0;
@@ -51,7 +51,7 @@
         }
         List<Entry> entries = new ArrayList<>();
         for (int i = 0; i < candidates.size(); i++) {
-            score(candidates.get(i), rows.get(i), longestS, shares, fetchGbPerS, entries);
+            score(candidates.get(i), rows.get(i), longestS, shares, fullness, entries);
         }
         return entries;
     }
@@ -61,14 +61,14 @@
             List<Machine> row,
             double longestS,
             ToDoubleFunction<Machine> prices,
-            ToDoubleFunction<Machine> fetchGbPerS,
+            ToDoubleFunction<Machine> fullness,
             List<Entry> entries) {
         double urgency = 0;
         for (Machine m : row) {
             urgency += Deadline.urgency(c.slackS(), estimates.remainingS(c, m));
         }
         Heuristic.Row shared =
-                new Heuristic.Row(c, row.isEmpty() ? 0 : urgency / row.size(), longestS, prices, fetchGbPerS);
+                new Heuristic.Row(c, row.isEmpty() ? 0 : urgency / row.size(), longestS, prices, fullness);
         for (Machine m : row) {
             double remainingS = estimates.remainingS(c, m);
             double sum = 0;
