--- a/src/main/java/org/spruceridge/config/Policy.java
+++ b/src/main/java/org/spruceridge/config/Policy.java
@@ -16,13 +16,7 @@
 
     /** The document's weights, and those of our own terms. */
     public record Weights(
-            double deadline,
-            double overhead,
-            double waiting,
-            double aging,
-            double thrift,
-            double presence,
-            double packing) {}
+            double deadline, double overhead, double waiting, double aging, double thrift, double packing) {}
 
     /** How far apart rounds are, against the workers' report period, and the least remaining time that the scores assume. */
     public record Rounds(double spacingOfReport, double remainingFloorS, double heldShare) {}
@@ -77,7 +71,6 @@
                     f.atLeastZeroOr("wait", weights.waiting),
                     f.atLeastZeroOr("aging", weights.aging),
                     f.atLeastZeroOr("thrift", weights.thrift),
-                    f.atLeastZeroOr(weights.presence),
                     f.atLeastZeroOr("packing", weights.packing));
         }
         Rounds rounds = d.rounds;
