--- a/src/test/java/org/spruceridge/schedule/HeuristicsTest.java
+++ b/src/test/java/org/spruceridge/schedule/HeuristicsTest.java
@@ -114,7 +114,6 @@
                         ImmutableList.of(MACHINE),
                         (c, m) -> true,
                         m -> 1,
-                        m -> 1,
                         m -> 0.5);
         // 15 * (1 - 0.5) * 0.5 + 40 * 0 + 8 * (1 - 40 / 80) + 5 * 40 / (40 + 40) = 3.75 + 4 + 2.5
         // and, of ours, 1 * (1 - 1) for the one price there is + 3 * 0.5 for a machine half full.
