--- a/src/main/java/org/spruceridge/cli/Main.java
+++ b/src/main/java/org/spruceridge/cli/Main.java
@@ -10,7 +10,7 @@
         description = "A cluster scheduler after Convergent Scheduling 2.0.",
         mixinStandardHelpOptions = true,
         versionProvider = Main.Version.class,
-        subcommands = {ServeCommand.class, CheckConfigCommand.class})
+        subcommands = {ServeCommand.class, CheckConfigCommand.class, RehearseCommand.class})
 public final class Main {
     /** Settings that cannot be used. */
     static final int BAD_SETTINGS = 3;
--- /dev/null
+++ b/src/main/java/org/spruceridge/cli/RehearseCommand.java
@@ -0,0 +1,139 @@
+package org.spruceridge.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.URISyntaxException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.jar.JarFile;
+import org.spruceridge.config.Address;
+import org.spruceridge.config.Policy;
+import org.spruceridge.config.Settings;
+import org.spruceridge.net.HttpCall;
+import org.spruceridge.net.HttpServer;
+import org.spruceridge.net.Json;
+import org.spruceridge.net.NettyHttpClient;
+import org.spruceridge.net.NettyLoop;
+import org.spruceridge.node.Node;
+import org.spruceridge.peer.NettyPeerLink;
+import picocli.CommandLine.Command;
+
+/**
+ * Runs a node on loopback for a moment, with nothing behind it, so that the build can write an archive of the classes
+ * that a start needs.
+ */
+@Command(name = "rehearse", hidden = true, description = "Loads what a start needs, and ends.")
+final class RehearseCommand implements Callable<Integer> {
+    private static final long PATIENCE = TimeUnit.SECONDS.toNanos(1);
+
+    @Override
+    public Integer call() throws Exception {
+        Settings settings = settings();
+        NettyLoop loop = new NettyLoop();
+        NettyPeerLink link = new NettyPeerLink(loop.group(), settings.peerListen(), List.of(settings.peerListen()));
+        NettyHttpClient client = new NettyHttpClient(loop);
+        Node node = new Node(loop, client, link, new SplittableRandom(1), settings, Policy.defaults());
+        link.listen();
+        new HttpServer(loop, 16, node.handler()).start(settings.serveOn());
+        loop.execute(node::start);
+        List<HttpCall> calls = List.of(
+                HttpCall.get("/healthz"),
+                HttpCall.post("/hello", Json.bytes(report())),
+                HttpCall.post("/api/jobs", Json.bytes(job())),
+                HttpCall.get("/api/jobs/j-000001"));
+        CountDownLatch answered = new CountDownLatch(calls.size());
+        for (HttpCall call : calls) {
+            loop.execute(() -> client.call(settings.serveOn(), call, PATIENCE, answer -> answered.countDown()));
+        }
+        answered.await();
+        TimeUnit.MILLISECONDS.sleep(1500); // beacons, retries
+        loadOwnClasses();
+        return 0;
+    }
+
+    private static void loadOwnClasses() throws IOException, URISyntaxException, ClassNotFoundException {
+        Path jar = Path.of(RehearseCommand.class
+                .getProtectionDomain()
+                .getCodeSource()
+                .getLocation()
+                .toURI());
+        try (JarFile file = new JarFile(jar.toFile())) {
+            for (String name : file.stream().map(e -> e.getName()).toList()) {
+                if (name.startsWith("org/spruceridge/") && name.endsWith(".class")) {
+                    Class.forName(
+                            name.substring(0, name.length() - ".class".length()).replace('/', '.'));
+                }
+            }
+        }
+    }
+
+    private static Settings settings() throws IOException {
+        Address serve = new Address("127.0.0.1", freePort());
+        ObjectNode root = Json.object()
+                .put("host_name", "rehearsal")
+                .put("domain", "here")
+                .put("serve_on", serve.toString())
+                .put("peer_listen", new Address("127.0.0.1", freePort()).toString());
+        root.putArray("members");
+        root.putObject("endpoints").put("cloud", serve.toString()).put("state", serve.toString());
+        ObjectNode facts = root.putObject("facts");
+        facts.putArray("zones");
+        facts.putArray("teams");
+        facts.putObject("workers").put("report_s", 1).put("lease_s", 10).put("cancel_s", 30);
+        facts.putObject("state")
+                .put("rps", 100)
+                .put("write_rps", 100)
+                .put("value_kb", 4)
+                .put("txn_ops", 8);
+        facts.putObject("cloud").put("rps", 10);
+        facts.putObject("resources").put("core_share", 1).put("mem_mb", 100).put("max_sockets", 100);
+        return Settings.read(root);
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+
+    private static JsonNode report() {
+        ObjectNode report = Json.object()
+                .put("host", "i-000001")
+                .put("endpoint", "127.0.0.1:1")
+                .put("build", "any")
+                .put("grove", "here")
+                .put("windfall", false)
+                .put("watch", 1)
+                .put("tally", 1)
+                .put("warrant", 0);
+        report.putArray("parts");
+        return report;
+    }
+
+    private static JsonNode job() {
+        return Json.object()
+                .put("nameId", "j-000001")
+                .put("lot", "any")
+                .put("crew", "any")
+                .put("shape", "sweep")
+                .put("rank", "normal")
+                .put("parts", 1)
+                .put("cpus", 1.0)
+                .put("accelerators", 0.0)
+                .put("memGb", 1.0)
+                .put("bundle", "any")
+                .put("pullGb", 1.0)
+                .put("samePlace", false)
+                .put("scatter", false)
+                .put("windfall", false)
+                .put("expectS", 1.0)
+                .put("markEveryS", 0.0)
+                .put("markS", 0.0);
+    }
+}
