--- a/src/main/java/org/spruceridge/api/Router.java
+++ b/src/main/java/org/spruceridge/api/Router.java
@@ -5,6 +5,8 @@
 import java.util.function.Function;
 import org.spruceridge.net.BadMessageException;
 import org.spruceridge.net.Json;
+import org.spruceridge.net.Latencies;
+import org.spruceridge.net.Loop;
 import org.spruceridge.net.Oddities;
 import org.spruceridge.net.Request;
 import org.spruceridge.net.RequestHandler;
@@ -18,12 +20,22 @@
     private final JobsEndpoint jobs;
     private final Function<Report, Response> reports;
     private final BooleanSupplier healthy;
+    private final Loop loop;
+    private final Latencies latencies;
     private final Oddities oddities;
 
-    public Router(JobsEndpoint jobs, Function<Report, Response> reports, BooleanSupplier healthy, Oddities oddities) {
+    public Router(
+            JobsEndpoint jobs,
+            Function<Report, Response> reports,
+            BooleanSupplier healthy,
+            Loop loop,
+            Latencies latencies,
+            Oddities oddities) {
         this.jobs = jobs;
         this.reports = reports;
         this.healthy = healthy;
+        this.loop = loop;
+        this.latencies = latencies;
         this.oddities = oddities;
     }
 
@@ -31,11 +43,14 @@
     public void handle(Request request, Consumer<Response> answer) {
         String path = request.path();
         if (path.equals("/hello")) {
-            only("POST", request, answer, () -> answer.accept(report(request.body())));
+            only("POST", request, answer, () -> timed(Latencies.Kind.REPORTS, answer)
+                    .accept(report(request.body())));
         } else if (path.equals("/healthz")) {
             only("GET", request, answer, () -> answer.accept(health()));
+        } else if (path.equals("/metrics")) {
+            only("GET", request, answer, () -> answer.accept(Response.of(200, latencies.toJson())));
         } else if (path.equals(JOBS)) {
-            only("POST", request, answer, () -> jobs.submit(request.body(), answer));
+            only("POST", request, answer, () -> jobs.submit(request.body(), timed(Latencies.Kind.USERS, answer)));
         } else if (path.startsWith(JOBS + "/")) {
             job(path.substring(JOBS.length() + 1), request, answer);
         } else {
@@ -46,14 +61,26 @@
     private void job(String rest, Request request, Consumer<Response> answer) {
         int slash = rest.indexOf('/');
         if (slash < 0) {
-            only("GET", request, answer, () -> jobs.poll(rest, answer));
+            only("GET", request, answer, () -> jobs.poll(rest, timed(Latencies.Kind.USERS, answer)));
         } else if (rest.substring(slash).equals("/abort")) {
-            only("POST", request, answer, () -> jobs.abort(rest.substring(0, slash), answer));
+            only(
+                    "POST",
+                    request,
+                    answer,
+                    () -> jobs.abort(rest.substring(0, slash), timed(Latencies.Kind.USERS, answer)));
         } else {
             answer.accept(Response.error(404, "no such path"));
         }
     }
 
+    private Consumer<Response> timed(Latencies.Kind kind, Consumer<Response> answer) {
+        long came = loop.nanos();
+        return response -> {
+            latencies.record(kind, loop.nanos() - came);
+            answer.accept(response);
+        };
+    }
+
     private Response report(byte[] body) {
         try {
             return reports.apply(Report.read(body));
--- a/src/main/java/org/spruceridge/lead/Leader.java
+++ b/src/main/java/org/spruceridge/lead/Leader.java
@@ -9,6 +9,7 @@
 import org.spruceridge.config.Policy;
 import org.spruceridge.config.Settings;
 import org.spruceridge.fleet.Fleet;
+import org.spruceridge.net.Latencies;
 import org.spruceridge.net.Loop;
 import org.spruceridge.net.Oddities;
 import org.spruceridge.net.Scope;
@@ -47,6 +48,7 @@
             Settings settings,
             Policy policy,
             Oddities oddities,
+            Latencies latencies,
             Tenure tenure,
             BooleanSupplier leads,
             Consumer<String> resign) {
@@ -75,7 +77,7 @@
                 resign.accept(why);
             }
         };
-        this.ledger = new Ledger(loop, scope, state, cluster, tenure, settings, events);
+        this.ledger = new Ledger(loop, scope, state, cluster, tenure, settings, latencies, events);
         this.desk = new ReportDesk(loop, cluster, ledger, tenure, settings, oddities);
         this.rounds = new Rounds(
                 loop,
@@ -85,7 +87,8 @@
                 new Matching(settings, policy, Ledger.mostBindings(settings)),
                 settings,
                 policy,
-                tenure);
+                tenure,
+                latencies);
         this.pusher = new Pusher(scope, cluster, workers, desk, settings, tenure, leads, () -> rounds.request());
         this.watch = new JobWatch(scope, state, cluster, ledger, oddities, () -> {
             pusher.pushAll();
--- a/src/main/java/org/spruceridge/lead/Ledger.java
+++ b/src/main/java/org/spruceridge/lead/Ledger.java
@@ -19,6 +19,7 @@
 import org.spruceridge.config.Settings;
 import org.spruceridge.fleet.MachineLog;
 import org.spruceridge.net.Budget.Rank;
+import org.spruceridge.net.Latencies;
 import org.spruceridge.net.Loop;
 import org.spruceridge.net.Scope;
 import org.spruceridge.net.Times;
@@ -63,6 +64,7 @@
     private final Cluster cluster;
     private final Tenure tenure;
     private final Listener listener;
+    private final Latencies latencies;
     private final int txnOps;
     private final int chunkSize;
     private final Map<Binding, Boolean> releases = new LinkedHashMap<>();
@@ -82,6 +84,7 @@
             Cluster cluster,
             Tenure tenure,
             Settings settings,
+            Latencies latencies,
             Listener listener) {
         this.loop = loop;
         this.scope = scope;
@@ -89,6 +92,7 @@
         this.cluster = cluster;
         this.tenure = tenure;
         this.listener = listener;
+        this.latencies = latencies;
         this.txnOps = settings.state().txnOps();
         this.chunkSize = FinishedRecord.chunkSize(settings.state().valueKb());
     }
@@ -260,6 +264,7 @@
         for (Binding b : batch.bound) {
             if (b.stage() == Binding.Stage.PROPOSED) {
                 b.stage(Binding.Stage.COMMITTED);
+                latencies.record(Latencies.Kind.COMMITS, now - b.boundAt());
             }
         }
         batch.released.forEach((b, done) -> {
--- a/src/main/java/org/spruceridge/lead/Rounds.java
+++ b/src/main/java/org/spruceridge/lead/Rounds.java
@@ -6,6 +6,7 @@
 import org.spruceridge.cluster.Cluster;
 import org.spruceridge.config.Policy;
 import org.spruceridge.config.Settings;
+import org.spruceridge.net.Latencies;
 import org.spruceridge.net.Loop;
 import org.spruceridge.net.Scope;
 import org.spruceridge.net.Times;
@@ -23,6 +24,7 @@
     private final Matching matching;
     private final long spacing;
     private final Tenure tenure;
+    private final Latencies latencies;
     private Plan lastPlan;
     private boolean due;
     private long lastRun;
@@ -36,13 +38,15 @@
             Matching matching,
             Settings settings,
             Policy policy,
-            Tenure tenure) {
+            Tenure tenure,
+            Latencies latencies) {
         this.loop = loop;
         this.scope = scope;
         this.cluster = cluster;
         this.ledger = ledger;
         this.matching = matching;
         this.tenure = tenure;
+        this.latencies = latencies;
         this.spacing = Times.nanos(
                 policy.rounds().spacingOfReport() * settings.workers().reportS());
         this.lastRun = loop.nanos() - spacing;
@@ -67,6 +71,7 @@
         lastRun = now;
         Plan plan = matching.plan(cluster, now, loop.wallMillis());
         lastPlan = plan;
+        latencies.record(Latencies.Kind.ROUNDS, loop.nanos() - now);
         for (Plan.Placement p : plan.placements()) {
             Binding b = new Binding(p.job(), p.index(), nextAttempt(), p.machine(), Binding.Stage.PROPOSED, now);
             cluster.bind(b);
--- a/src/main/java/org/spruceridge/node/Node.java
+++ b/src/main/java/org/spruceridge/node/Node.java
@@ -16,6 +16,7 @@
 import org.spruceridge.net.Budget;
 import org.spruceridge.net.Budget.Rank;
 import org.spruceridge.net.HttpClient;
+import org.spruceridge.net.Latencies;
 import org.spruceridge.net.Loop;
 import org.spruceridge.net.Oddities;
 import org.spruceridge.net.RequestHandler;
@@ -48,6 +49,7 @@
     private final Settings settings;
     private final Policy policy;
     private final Oddities oddities;
+    private final Latencies latencies;
     private final Budget stateBudget;
     private final Budget cloudBudget;
     private final StateClient state;
@@ -65,16 +67,17 @@
         this.settings = settings;
         this.policy = policy;
         this.oddities = new Oddities(loop);
+        this.latencies = new Latencies(loop);
         this.stateBudget = new Budget(loop, 1, 1);
         this.cloudBudget = new Budget(loop, 1, 1);
         shareLimits(false);
-        this.state = new StateClient(loop, http, settings.stateAddress(), stateBudget, oddities);
+        this.state = new StateClient(loop, http, settings.stateAddress(), stateBudget, oddities, latencies);
         this.cloud = new CloudClient(http, settings.cloudAddress(), cloudBudget, oddities);
         this.workers = new WorkerClient(http, oddities);
         this.election = new Election(loop, state, random, oddities, settings, policy, this);
         this.peers = new Peers(loop, link, oddities, this::beacon);
         JobsEndpoint jobs = new JobsEndpoint(loop, state, settings, () -> catalogue, this::progress, oddities);
-        this.router = new Router(jobs, this::report, this::healthy, oddities);
+        this.router = new Router(jobs, this::report, this::healthy, loop, latencies, oddities);
     }
 
     /** Takes the requests of users, workers and health checks. */
@@ -84,6 +87,7 @@
 
     public void start() {
         election.start();
+        latencies.start();
         peers.start();
         refreshCatalogue();
         pulse();
@@ -92,6 +96,7 @@
     public void stop() {
         scope.close();
         peers.stop();
+        latencies.stop();
         election.stop();
         if (leader != null) {
             leader.stop();
@@ -108,7 +113,17 @@
     public void won(Tenure tenure) {
         shareLimits(true);
         leader = new Leader(
-                loop, state, cloud, workers, settings, policy, oddities, tenure, election::leads, election::resign);
+                loop,
+                state,
+                cloud,
+                workers,
+                settings,
+                policy,
+                oddities,
+                latencies,
+                tenure,
+                election::leads,
+                election::resign);
         leader.start();
     }
 
--- a/src/main/java/org/spruceridge/state/StateClient.java
+++ b/src/main/java/org/spruceridge/state/StateClient.java
@@ -16,6 +16,7 @@
 import org.spruceridge.net.HttpCall;
 import org.spruceridge.net.HttpClient;
 import org.spruceridge.net.Json;
+import org.spruceridge.net.Latencies;
 import org.spruceridge.net.Loop;
 import org.spruceridge.net.Oddities;
 import org.spruceridge.net.Times;
@@ -34,15 +35,18 @@
     private final Address address;
     private final Budget budget;
     private final Oddities oddities;
+    private final Latencies latencies;
     private long lastServed;
     private boolean everServed;
 
-    public StateClient(Loop loop, HttpClient http, Address address, Budget budget, Oddities oddities) {
+    public StateClient(
+            Loop loop, HttpClient http, Address address, Budget budget, Oddities oddities, Latencies latencies) {
         this.loop = loop;
         this.http = http;
         this.address = address;
         this.budget = budget;
         this.oddities = oddities;
+        this.latencies = latencies;
         this.lastServed = loop.nanos();
     }
 
@@ -173,7 +177,7 @@
     }
 
     private void send(Rank rank, int changes, HttpCall call, long patience, Consumer<HttpAnswer> done) {
-        boolean taken = budget.submit(rank, changes, () -> http.call(address, call, patience, served(done)));
+        boolean taken = budget.submit(rank, changes, () -> http.call(address, call, patience, timed(served(done))));
         if (!taken) {
             done.accept(new HttpAnswer(429, new byte[0])); // as good as refused: it was never sent
         }
@@ -185,6 +189,14 @@
         }
     }
 
+    private Consumer<HttpAnswer> timed(Consumer<HttpAnswer> done) {
+        long sent = loop.nanos();
+        return answer -> {
+            latencies.record(Latencies.Kind.STATE, loop.nanos() - sent);
+            done.accept(answer);
+        };
+    }
+
     private Consumer<HttpAnswer> served(Consumer<HttpAnswer> done) {
         return answer -> {
             if (answer.answered() && answer.status() != 503) {
--- a/src/test/java/org/spruceridge/story/FailureStoriesTest.java
+++ b/src/test/java/org/spruceridge/story/FailureStoriesTest.java
@@ -8,6 +8,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.Test;
@@ -94,7 +95,7 @@
         assertNotEquals(200, answer.status());
     }
 
-    private static JsonNode report(String machine, int sequence) {
+    private static ObjectNode report(String machine, int sequence) {
         var node = org.spruceridge.net.Json.object()
                 .put("host", machine)
                 .put("endpoint", "10.1.0.9:9000")
@@ -141,6 +142,41 @@
         assertEquals("cancelled", world.poll("j-000001"));
     }
 
+    @Test
+    void aCancellationThatTheLeaderHasNotHeardOfStopsTheStart() {
+        until(() -> world.leader() != null, 10);
+        world.submit(World.job(1, 1));
+        // From here on the leader's watch brings nothing; the machine is still booting.
+        String leader = world.leader();
+        world.net.weather((from, to, call) ->
+                from.equals(leader) && call.target().startsWith("/follow?starts=open/") ? Fate.LOST : Fate.DELIVERED);
+        world.submit(World.job(2, 1));
+        world.loop.run(1);
+        world.ask(world.follower(), "POST", "/api/jobs/j-000001/abort", (JsonNode) null);
+        world.loop.run(20);
+        assertTrue(world.starts().isEmpty(), "the commit of the binding must have failed on the job's guard");
+    }
+
+    @Test
+    void anOlderReportOfTheSameSessionChangesNothing() {
+        until(() -> world.leader() != null, 10);
+        world.submit(World.job(1, 1).put("expectS", 30.0));
+        until(() -> world.running().size() == 1, 30);
+        world.loop.run(3);
+        String key = world.state.keys("machine/").iterator().next();
+        ObjectNode stale = report(key.substring("machine/".length()), 1);
+        stale.put("warrant", world.state.value("leader").path("term").asLong());
+        stale.withArray("parts")
+                .addObject()
+                .put("part", "j-000001/0")
+                .put("try", world.state.value(key).at("/bound/0/2").asLong())
+                .put("stage", "ended")
+                .put("cause", "done");
+        world.ask(world.leader(), "POST", "/hello", stale);
+        world.loop.run(3);
+        assertEquals("running", world.poll("j-000001"), "not done before its task is");
+    }
+
     @Test
     void aCancellationWithNoLeaderIsCarriedOutByTheNext() {
         until(() -> world.leader() != null, 10);
--- a/src/test/java/org/spruceridge/story/UserStoriesTest.java
+++ b/src/test/java/org/spruceridge/story/UserStoriesTest.java
@@ -204,6 +204,16 @@
         assertEquals(200, world.ask("n0", "GET", "/healthz", (JsonNode) null).status());
     }
 
+    @Test
+    void aNodeTellsHowLongThingsTake() throws Exception {
+        world.submit(World.job(1, 1));
+        runUntilDone("j-000001");
+        Response r = world.ask("n0", "GET", "/metrics", (JsonNode) null);
+        JsonNode users = org.spruceridge.net.Json.object(r.body()).path("users");
+        assertTrue(users.path("count").asLong() > 0);
+        assertTrue(users.path("maxMs").asDouble() >= users.path("p50Ms").asDouble());
+    }
+
     @Test
     void aNodeThatAloneLostTheStateServiceIsUnhealthy() {
         world.net.weather(
