--- a/src/main/java/org/spruceridge/config/Policy.java
+++ b/src/main/java/org/spruceridge/config/Policy.java
@@ -33,11 +33,11 @@
     /** The values that the program starts with. */
     public static Policy defaults() {
         return new Policy(
-                new Weights(15, 40, 8, 5, 1, 3),
+                new Weights(15, 40, 8, 5, 2, 3),
                 new Rounds(0.1, 10, 0.25),
                 new Stops(60),
                 new Leading(0.3, 5),
-                new FleetRatios(0.75, 4, 0.5));
+                new FleetRatios(0.25, 4, 0.5));
     }
 
     /** Reads and checks a policy file; what it leaves out keeps its default. */
--- a/src/test/java/org/spruceridge/schedule/HeuristicsTest.java
+++ b/src/test/java/org/spruceridge/schedule/HeuristicsTest.java
@@ -116,7 +116,7 @@
                         m -> 1,
                         m -> 0.5);
         // 15 * (1 - 0.5) * 0.5 + 40 * 0 + 8 * (1 - 40 / 80) + 5 * 40 / (40 + 40) = 3.75 + 4 + 2.5
-        // and, of ours, 1 * (1 - 1) for the one price there is + 3 * 0.5 for a machine half full.
+        // and, of ours, 2 * (1 - 1) for the one price there is + 3 * 0.5 for a machine half full.
         assertEquals(11.75, entries.get(0).score(), 1e-9);
         // 15 * 0 + 40 * 0 + 8 * (1 - 80 / 80) + 5 * 20 / (20 + 80) = 1
         assertEquals(2.5, entries.get(1).score(), 1e-9);
