Machine types are kept on record: nodes that start while the cloud is out take and place jobs

Cause: a node that had not asked the cloud knew no machine types; it answered 503 to submissions, and as leader placed nothing.

--- a/src/main/java/org/spruceridge/lead/Leader.java
+++ b/src/main/java/org/spruceridge/lead/Leader.java
@@ -1,11 +1,13 @@
 package org.spruceridge.lead;
 
+import com.google.common.collect.ImmutableMap;
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.spruceridge.cloud.CloudClient;
 import org.spruceridge.cluster.Cluster;
 import org.spruceridge.cluster.Job;
+import org.spruceridge.cluster.MachineType;
 import org.spruceridge.config.Policy;
 import org.spruceridge.config.Settings;
 import org.spruceridge.fleet.Fleet;
@@ -128,6 +130,13 @@
         return tenure.term();
     }
 
+    /** Takes over what is known of the machine types, unless the fleet has asked the cloud itself by now. */
+    public void types(ImmutableMap<String, MachineType> types) {
+        if (cluster.types().isEmpty()) {
+            cluster.types(types);
+        }
+    }
+
     /** The picture of this term, to be read only. */
     public Cluster cluster() {
         return cluster;
--- /dev/null
+++ b/src/main/java/org/spruceridge/node/Catalogue.java
@@ -0,0 +1,116 @@
+package org.spruceridge.node;
+
+import com.google.common.collect.ImmutableMap;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.spruceridge.cloud.CloudClient;
+import org.spruceridge.cluster.MachineType;
+import org.spruceridge.net.BadMessageException;
+import org.spruceridge.net.Budget.Rank;
+import org.spruceridge.net.Loop;
+import org.spruceridge.net.Oddities;
+import org.spruceridge.net.Scope;
+import org.spruceridge.net.Times;
+import org.spruceridge.record.CatalogueRecord;
+import org.spruceridge.record.Keys;
+import org.spruceridge.state.Result;
+import org.spruceridge.state.StateClient;
+import org.spruceridge.state.Transaction;
+
+/** What this node knows of the machine types: from the cloud, or, until that answers, from the record. */
+final class Catalogue {
+    private static final Logger LOG = LoggerFactory.getLogger(Catalogue.class);
+    private static final long RETRY = Times.nanos(2);
+    private static final long EVERY = Times.nanos(300);
+
+    private final Scope scope;
+    private final CloudClient cloud;
+    private final StateClient state;
+    private final Oddities oddities;
+    private final Consumer<ImmutableMap<String, MachineType>> learned;
+    private Optional<ImmutableMap<String, MachineType>> types = Optional.empty();
+
+    Catalogue(
+            Loop loop,
+            CloudClient cloud,
+            StateClient state,
+            Oddities oddities,
+            Consumer<ImmutableMap<String, MachineType>> learned) {
+        this.scope = new Scope(loop);
+        this.cloud = cloud;
+        this.state = state;
+        this.oddities = oddities;
+        this.learned = learned;
+    }
+
+    void start() {
+        recall();
+        refresh();
+    }
+
+    void stop() {
+        scope.close();
+    }
+
+    Optional<ImmutableMap<String, MachineType>> types() {
+        return types;
+    }
+
+    private void refresh() {
+        cloud.catalogue(scope.guard(answer -> {
+            if (answer.isPresent()) {
+                take(answer.get());
+                keep(new CatalogueRecord(answer.get()));
+            }
+            scope.after(answer.isPresent() ? EVERY : RETRY, this::refresh);
+        }));
+    }
+
+    private void recall() {
+        state.get(Keys.CATALOGUE, Rank.DECISIONS, scope.guard(found -> {
+            if (types.isPresent()) {
+                return;
+            }
+            if (found.isOk()) {
+                try {
+                    take(CatalogueRecord.read(found.value().value()).types());
+                    return;
+                } catch (BadMessageException e) {
+                    oddities.note("unreadable catalogue record", e.getMessage());
+                }
+            }
+            scope.after(RETRY, this::recall);
+        }));
+    }
+
+    private void take(ImmutableMap<String, MachineType> now) {
+        if (types.isEmpty()) {
+            LOG.info("machine types known: {}", now.keySet());
+        }
+        types = Optional.of(now);
+        learned.accept(now);
+    }
+
+    /** Puts the types on record where they are not; should that fail, the next refresh tries again. */
+    private void keep(CatalogueRecord now) {
+        state.get(Keys.CATALOGUE, Rank.DECISIONS, scope.guard(found -> {
+            if (found.kind() == Result.Kind.UNAVAILABLE) {
+                return;
+            }
+            try {
+                if (found.isOk() && CatalogueRecord.read(found.value().value()).sameTypes(now)) {
+                    return;
+                }
+            } catch (BadMessageException e) {
+                oddities.note("unreadable catalogue record", e.getMessage());
+            }
+            long stamp = found.isOk() ? found.value().stamp() : 0;
+            Transaction txn = Transaction.builder()
+                    .set(Keys.CATALOGUE, stamp, now.write())
+                    .build();
+            state.commit(txn, Rank.DECISIONS, result -> {});
+        }));
+    }
+}
--- a/src/main/java/org/spruceridge/node/Node.java
+++ b/src/main/java/org/spruceridge/node/Node.java
@@ -1,7 +1,6 @@
 package org.spruceridge.node;
 
 import com.google.common.collect.ImmutableMap;
-import java.util.Optional;
 import java.util.random.RandomGenerator;
 import org.spruceridge.api.JobsEndpoint;
 import org.spruceridge.api.Router;
@@ -41,8 +40,6 @@
 
     private static final long PULSE = Times.nanos(1);
     private static final long CUT_OFF = Times.nanos(3);
-    private static final long CATALOGUE_RETRY = Times.nanos(2);
-    private static final long CATALOGUE_EVERY = Times.nanos(300);
 
     private final Loop loop;
     private final Scope scope;
@@ -58,7 +55,7 @@
     private final Election election;
     private final Peers peers;
     private final Router router;
-    private Optional<ImmutableMap<String, MachineType>> catalogue = Optional.empty();
+    private final Catalogue catalogue;
     private Leader leader;
 
     public Node(Loop loop, HttpClient http, PeerLink link, RandomGenerator random, Settings settings, Policy policy) {
@@ -73,10 +70,11 @@
         shareLimits(false);
         this.state = new StateClient(loop, http, settings.stateAddress(), stateBudget, oddities, latencies);
         this.cloud = new CloudClient(http, settings.cloudAddress(), cloudBudget, oddities);
+        this.catalogue = new Catalogue(loop, cloud, state, oddities, this::learned);
         this.workers = new WorkerClient(http, oddities);
         this.election = new Election(loop, state, random, oddities, settings, policy, this);
         this.peers = new Peers(loop, link, oddities, this::beacon);
-        JobsEndpoint jobs = new JobsEndpoint(loop, state, settings, () -> catalogue, this::progress, oddities);
+        JobsEndpoint jobs = new JobsEndpoint(loop, state, settings, catalogue::types, this::progress, oddities);
         this.router = new Router(jobs, this::report, this::healthy, loop, latencies, oddities);
     }
 
@@ -89,12 +87,13 @@
         election.start();
         latencies.start();
         peers.start();
-        refreshCatalogue();
+        catalogue.start();
         pulse();
     }
 
     public void stop() {
         scope.close();
+        catalogue.stop();
         peers.stop();
         latencies.stop();
         election.stop();
@@ -124,6 +123,7 @@
                 tenure,
                 election::leads,
                 election::resign);
+        catalogue.types().ifPresent(leader::types);
         leader.start();
     }
 
@@ -136,6 +136,12 @@
         }
     }
 
+    private void learned(ImmutableMap<String, MachineType> types) {
+        if (leader != null) {
+            leader.types(types);
+        }
+    }
+
     private void shareLimits(boolean leading) {
         int nodes = settings.nodeCount();
         double share = nodes == 1 ? 1 : leading ? 1 - FOLLOWERS_SHARE : FOLLOWERS_SHARE / (nodes - 1);
@@ -189,13 +195,6 @@
         return peers.progress(id);
     }
 
-    private void refreshCatalogue() {
-        cloud.catalogue(scope.guard(answer -> {
-            catalogue = answer.isPresent() ? answer : catalogue;
-            scope.after(answer.isPresent() ? CATALOGUE_EVERY : CATALOGUE_RETRY, this::refreshCatalogue);
-        }));
-    }
-
     /** Asks the state service for something small, to know whether it serves this node. */
     private void pulse() {
         state.get(Keys.LEADER, Rank.RENEWAL, scope.guard(found -> scope.after(PULSE, this::pulse)));
--- /dev/null
+++ b/src/main/java/org/spruceridge/record/CatalogueRecord.java
@@ -0,0 +1,69 @@
+package org.spruceridge.record;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import org.spruceridge.cluster.MachineType;
+import org.spruceridge.cluster.Room;
+import org.spruceridge.net.BadMessageException;
+import org.spruceridge.net.Json;
+
+/**
+ * The machine types as the cloud last told them, kept so that a node which starts while the cloud is out can still judge
+ * and place jobs. Prices in it are those of the day it was written.
+ */
+public record CatalogueRecord(ImmutableMap<String, MachineType> types) {
+
+    public static CatalogueRecord read(JsonNode value) throws BadMessageException {
+        ImmutableMap.Builder<String, MachineType> out = ImmutableMap.builder();
+        for (JsonNode item : Json.list(value, "types")) {
+            ImmutableList.Builder<String> zones = ImmutableList.builder();
+            Json.list(item, "zones").forEach(z -> zones.add(z.asText()));
+            String name = Json.text(item, "name");
+            Room room = new Room(Json.number(item, "cpus"), Json.number(item, "gpus"), Json.number(item, "memGb"));
+            out.put(
+                    name,
+                    new MachineType(
+                            name,
+                            room,
+                            Json.number(item, "fetch"),
+                            Json.number(item, "price"),
+                            Json.number(item, "spotPrice"),
+                            Json.number(item, "bootS"),
+                            zones.build()));
+        }
+        return new CatalogueRecord(out.buildKeepingLast());
+    }
+
+    public ObjectNode write() {
+        ObjectNode out = Json.object();
+        ArrayNode list = out.putArray("types");
+        for (MachineType t : types.values()) {
+            ObjectNode item = list.addObject()
+                    .put("name", t.name())
+                    .put("cpus", t.room().cpus())
+                    .put("gpus", t.room().gpus())
+                    .put("memGb", t.room().memGb())
+                    .put("fetch", t.fetchGbPerS())
+                    .put("price", t.price())
+                    .put("spotPrice", t.spotPrice())
+                    .put("bootS", t.bootS());
+            ArrayNode zones = item.putArray("zones");
+            t.zones().forEach(zones::add);
+        }
+        return out;
+    }
+
+    /** True if both tell of the same types; prices move all the time and do not count. */
+    public boolean sameTypes(CatalogueRecord other) {
+        return types.keySet().equals(other.types.keySet())
+                && types.values().stream().allMatch(t -> {
+                    MachineType o = other.types.get(t.name());
+                    return t.room().equals(o.room())
+                            && t.bootS() == o.bootS()
+                            && t.zones().equals(o.zones());
+                });
+    }
+}
--- a/src/main/java/org/spruceridge/record/Keys.java
+++ b/src/main/java/org/spruceridge/record/Keys.java
@@ -4,6 +4,7 @@
 public final class Keys {
     public static final String LEADER = "leader";
     public static final String TERM = "term";
+    public static final String CATALOGUE = "catalogue";
     public static final String JOBS = "job/";
     public static final String OPEN = "open/";
     public static final String FINISHED = "parts/";
--- a/src/test/java/org/spruceridge/story/FailureStoriesTest.java
+++ b/src/test/java/org/spruceridge/story/FailureStoriesTest.java
@@ -266,6 +266,23 @@
         assertEquals(4, world.starts().size());
     }
 
+    @Test
+    void nodesThatStartWhileTheCloudIsOutStillTakeAndPlaceJobs() {
+        until(() -> world.leader() != null, 10);
+        world.submit(World.job(1, 1));
+        until(() -> world.poll("j-000001").equals("done"), 60);
+        world.net.weather((from, to, call) -> to.host().equals("10.2.0.2") ? Fate.LOST : Fate.DELIVERED);
+        for (String node : new String[] {"n0", "n1", "n2"}) {
+            world.crash(node);
+        }
+        for (String node : new String[] {"n0", "n1", "n2"}) {
+            world.boot(node);
+        }
+        world.loop.run(5);
+        assertEquals(201, world.submit(World.job(2, 1)));
+        until(() -> world.poll("j-000002").equals("done"), 60);
+    }
+
     @Test
     void aRestartedLeaderTakesItsOwnPlaceAtOnce() {
         until(() -> world.leader() != null, 10);
