--- a/src/main/java/org/spruceridge/lead/Election.java
+++ b/src/main/java/org/spruceridge/lead/Election.java
@@ -55,6 +55,7 @@
     private Cancellable watch = () -> {};
     private Optional<LeaderRecord> known = Optional.empty();
     private boolean campaigning;
+    private long restUntil = Long.MIN_VALUE;
     private Tenure tenure;
     private long permit;
     private long validUntil;
@@ -108,7 +109,8 @@
             LOG.warn("term {}: giving up the lead: {}", tenure.term(), why);
             state.endGrant(permit);
             lose();
-            scope.after(renewEvery, this::read);
+            restUntil = loop.nanos() + ttl; // others first
+            scope.after(ttl, this::read);
         }
     }
 
@@ -192,7 +194,7 @@
     }
 
     private void campaign(long leaderStamp) {
-        if (campaigning) {
+        if (campaigning || loop.nanos() < restUntil) {
             return;
         }
         campaigning = true;
--- a/src/main/java/org/spruceridge/lead/Leader.java
+++ b/src/main/java/org/spruceridge/lead/Leader.java
@@ -126,6 +126,11 @@
         scope.close();
     }
 
+    /** Nanoseconds since this node won the term. */
+    public long ledFor() {
+        return loop.nanos() - tenure.since();
+    }
+
     public long term() {
         return tenure.term();
     }
--- a/src/main/java/org/spruceridge/node/Node.java
+++ b/src/main/java/org/spruceridge/node/Node.java
@@ -38,6 +38,9 @@
     /** What is left unused of the limits, for the services' clocks and ours differ. */
     private static final double HEADROOM = 0.95;
 
+    /** After this many report periods without a report, a node counts as not reached by workers. */
+    private static final double REACHED_OF_REPORT = 2.5;
+
     private static final long PULSE = Times.nanos(1);
     private static final long CUT_OFF = Times.nanos(3);
 
@@ -57,6 +60,7 @@
     private final Router router;
     private final Catalogue catalogue;
     private Leader leader;
+    private long lastReport;
 
     public Node(Loop loop, HttpClient http, PeerLink link, RandomGenerator random, Settings settings, Policy policy) {
         this.loop = loop;
@@ -64,6 +68,7 @@
         this.settings = settings;
         this.policy = policy;
         this.oddities = new Oddities(loop);
+        this.lastReport = loop.nanos();
         this.latencies = new Latencies(loop);
         this.stateBudget = new Budget(loop, 1, 1);
         this.cloudBudget = new Budget(loop, 1, 1);
@@ -153,6 +158,7 @@
     }
 
     private Response report(Report report) {
+        lastReport = loop.nanos();
         if (!election.leads() || leader == null) {
             String known = election.leaderName().orElse(null);
             boolean other = known != null && !known.equals(settings.hostName());
@@ -184,7 +190,9 @@
                 }
             }
         }
-        return new Beacon(settings.hostName(), state.everServed() && stateServes(), term, progress.build());
+        boolean reached = loop.nanos() - lastReport
+                < Times.nanos(REACHED_OF_REPORT * settings.workers().reportS());
+        return new Beacon(settings.hostName(), state.everServed() && stateServes(), reached, term, progress.build());
     }
 
     private Beacon.Progress progress(String id) {
@@ -195,8 +203,20 @@
         return peers.progress(id);
     }
 
+    /**
+     * A leader that workers do not reach while they reach other nodes gives the lead up: else all leases run out, for
+     * the others keep sending the workers to it.
+     */
+    private void yieldIfCutOff() {
+        long quiet = Times.nanos(REACHED_OF_REPORT * settings.workers().reportS());
+        if (leader != null && leader.ledFor() > quiet && loop.nanos() - lastReport > quiet && peers.anyReached()) {
+            election.resign("workers reach other nodes, and not this one");
+        }
+    }
+
     /** Asks the state service for something small, to know whether it serves this node. */
     private void pulse() {
+        yieldIfCutOff();
         state.get(Keys.LEADER, Rank.RENEWAL, scope.guard(found -> scope.after(PULSE, this::pulse)));
     }
 }
--- a/src/main/java/org/spruceridge/peer/Beacon.java
+++ b/src/main/java/org/spruceridge/peer/Beacon.java
@@ -9,10 +9,16 @@
 import org.spruceridge.net.BadMessageException;
 
 /**
- * What a node tells the others about once a second: whether the state service serves it, and, from the leader, how far
- * open jobs have come. It is for display and for the health check; no decision rests on it.
+ * What a node tells the others about once a second: whether the state service serves it, whether workers reach it, and,
+ * from the leader, how far open jobs have come. No rule rests on it: it is for display, for the health check, and for a
+ * leader that workers do not reach.
  */
-public record Beacon(String hostName, boolean stateServes, long term, ImmutableMap<String, Progress> progress) {
+public record Beacon(
+        String hostName,
+        boolean stateServes,
+        boolean workersReach,
+        long term,
+        ImmutableMap<String, Progress> progress) {
     private static final int MOST_JOBS = 5000;
 
     /** Tasks of a job that are done and that run. */
@@ -22,9 +28,10 @@
 
     public byte[] write() {
         try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
-            out.packArrayHeader(4);
+            out.packArrayHeader(5);
             out.packString(hostName);
             out.packBoolean(stateServes);
+            out.packBoolean(workersReach);
             out.packLong(term);
             int jobs = Math.min(MOST_JOBS, progress.size());
             out.packMapHeader(jobs);
@@ -45,11 +52,12 @@
 
     public static Beacon read(byte[] frame) throws BadMessageException {
         try (MessageUnpacker in = MessagePack.newDefaultUnpacker(frame)) {
-            if (in.unpackArrayHeader() < 4) {
+            if (in.unpackArrayHeader() < 5) {
                 throw new BadMessageException("a beacon is too short");
             }
             String host = in.unpackString();
             boolean serves = in.unpackBoolean();
+            boolean reached = in.unpackBoolean();
             long term = in.unpackLong();
             int jobs = in.unpackMapHeader();
             ImmutableMap.Builder<String, Progress> progress = ImmutableMap.builder();
@@ -58,7 +66,7 @@
                 in.unpackArrayHeader();
                 progress.put(id, new Progress(in.unpackInt(), in.unpackInt()));
             }
-            return new Beacon(host, serves, term, progress.buildKeepingLast());
+            return new Beacon(host, serves, reached, term, progress.buildKeepingLast());
         } catch (IOException | MessagePackException e) {
             throw new BadMessageException("not a beacon: " + e.getClass().getSimpleName());
         }
--- a/src/main/java/org/spruceridge/peer/Peers.java
+++ b/src/main/java/org/spruceridge/peer/Peers.java
@@ -22,7 +22,7 @@
     private final Oddities oddities;
     private final Supplier<Beacon> own;
     private final Map<String, Heard> heard = new HashMap<>();
-    private Beacon leader = new Beacon("", false, 0, ImmutableMap.of());
+    private Beacon leader = new Beacon("", false, false, 0, ImmutableMap.of());
 
     private record Heard(Beacon beacon, long at) {}
 
@@ -49,6 +49,12 @@
         return heard.values().stream().anyMatch(h -> h.beacon.stateServes() && now - h.at < FRESH);
     }
 
+    /** True if workers lately reached another node. */
+    public boolean anyReached() {
+        long now = loop.nanos();
+        return heard.values().stream().anyMatch(h -> h.beacon.workersReach() && now - h.at < FRESH);
+    }
+
     /** How far a job has come, by the latest word of the newest leader. */
     public Progress progress(String job) {
         return leader.progress().getOrDefault(job, Progress.NONE);
--- a/src/test/java/org/spruceridge/sim/World.java
+++ b/src/test/java/org/spruceridge/sim/World.java
@@ -71,7 +71,8 @@
         return names;
     }
 
-    static Address address(String node) {
+    /** Where a node serves. */
+    public static Address address(String node) {
         return new Address("10.0.0." + node, 8080);
     }
 
--- a/src/test/java/org/spruceridge/story/FailureStoriesTest.java
+++ b/src/test/java/org/spruceridge/story/FailureStoriesTest.java
@@ -266,6 +266,22 @@
         assertEquals(4, world.starts().size());
     }
 
+    @Test
+    void aLeaderThatWorkersCannotReachYields() {
+        until(() -> world.leader() != null, 10);
+        world.submit(World.job(1, 2).put("expectS", 40.0));
+        until(() -> world.running().size() == 2, 40);
+        String old = world.leader();
+        world.net.weather((from, to, call) -> {
+            boolean in = from.startsWith("i-") && to.equals(World.address(old));
+            boolean out = from.equals(old) && call.target().equals("/do");
+            return in || out ? Fate.LOST : Fate.DELIVERED;
+        });
+        until(() -> world.poll("j-000001").equals("done"), 90);
+        assertNotEquals(old, world.leader());
+        assertEquals(2, world.starts().size(), "another leader answered before any lease ran out");
+    }
+
     @Test
     void nodesThatStartWhileTheCloudIsOutStillTakeAndPlaceJobs() {
         until(() -> world.leader() != null, 10);
