--- a/src/main/java/org/spruceridge/cluster/Machine.java
+++ b/src/main/java/org/spruceridge/cluster/Machine.java
@@ -31,7 +31,6 @@
     private boolean tainted;
     private long idleSince;
     private long lastStop = Long.MIN_VALUE;
-    private long lastListed = Long.MIN_VALUE;
     private long bornAt;
 
     /** {@code answeredAt} is the last moment at which any entitled node can have answered a report of it. */
@@ -242,12 +241,4 @@
     public void lastStop(long moment) {
         lastStop = moment;
     }
-
-    public long lastListed() {
-        return lastListed;
-    }
-
-    public void listed(long now) {
-        lastListed = now;
-    }
 }
--- a/src/main/java/org/spruceridge/fleet/Fleet.java
+++ b/src/main/java/org/spruceridge/fleet/Fleet.java
@@ -138,7 +138,6 @@
                 cluster.add(machine);
             }
             if (machine != null) {
-                machine.listed(now);
                 machine.bornAt(Math.min(machine.bornAt(), now - Times.nanos(host.ageS())));
             }
         }
--- a/src/main/java/org/spruceridge/lead/Leader.java
+++ b/src/main/java/org/spruceridge/lead/Leader.java
@@ -71,9 +71,6 @@
                 pusher.pushAll();
             }
 
-            @Override
-            public void finished(Job job) {}
-
             @Override
             public void broken(String why) {
                 resign.accept(why);
--- a/src/main/java/org/spruceridge/lead/Ledger.java
+++ b/src/main/java/org/spruceridge/lead/Ledger.java
@@ -51,9 +51,6 @@
         /** A job turned out to be cancelled. */
         void cancelled(Job job);
 
-        /** A job's end is on record. */
-        void finished(Job job);
-
         /** The records are not as this leader left them, or another leads. */
         void broken(String why);
     }
@@ -277,7 +274,6 @@
         batch.chunks.forEach((key, bits) -> key.job().chunkStamps().put(key.chunk(), revision));
         for (Job job : batch.finished) {
             cluster.removeIfOver(job, true);
-            listener.finished(job);
         }
         pump();
         listener.committed();
--- a/src/main/java/org/spruceridge/net/Oddities.java
+++ b/src/main/java/org/spruceridge/net/Oddities.java
@@ -28,11 +28,6 @@
         }
     }
 
-    public long count(String kind) {
-        Kind seen = kinds.get(kind);
-        return seen == null ? 0 : seen.count;
-    }
-
     private static final class Kind {
         private long count;
         private long loggedAt;
--- /dev/null
+++ b/src/test/java/org/spruceridge/peer/BeaconTest.java
@@ -0,0 +1,30 @@
+package org.spruceridge.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.google.common.collect.ImmutableMap;
+import java.util.Arrays;
+import org.junit.jupiter.api.Test;
+import org.spruceridge.net.BadMessageException;
+import org.spruceridge.peer.Beacon.Progress;
+
+/** What goes between nodes comes out as it went in, and nothing else is taken for it. */
+final class BeaconTest {
+    private final Beacon beacon = new Beacon("n0", true, false, 7, ImmutableMap.of("j-000001", new Progress(3, 4)));
+
+    @Test
+    void aBeaconIsReadAsItWasWritten() throws BadMessageException {
+        assertEquals(beacon, Beacon.read(beacon.write()));
+    }
+
+    @Test
+    void whatIsCutShortOrForeignIsRefused() {
+        byte[] whole = beacon.write();
+        for (int length = 0; length < whole.length; length++) {
+            byte[] part = Arrays.copyOf(whole, length);
+            assertThrows(BadMessageException.class, () -> Beacon.read(part));
+        }
+        assertThrows(BadMessageException.class, () -> Beacon.read("GET / HTTP/1.1".getBytes()));
+    }
+}
