One word each for an unfit machine, for being reached by workers and for a fresh beacon

Read again whole: the same three checks stood in two to four places each. Decisions are unchanged; the summary line now counts a machine with an unanswered push as leaving, which it is.

--- a/src/main/java/org/spruceridge/cluster/Machine.java
+++ b/src/main/java/org/spruceridge/cluster/Machine.java
@@ -150,6 +150,11 @@
         tainted = true;
     }
 
+    /** Nothing more is placed here: it is taken for faulty, about to be taken away, or a late start may reach it. */
+    public boolean unfit() {
+        return suspect || noticed() || tainted;
+    }
+
     private void voidPushes() {
         unresolved.clear();
         tainted = false;
--- a/src/main/java/org/spruceridge/fleet/Fleet.java
+++ b/src/main/java/org/spruceridge/fleet/Fleet.java
@@ -227,7 +227,7 @@
         Demand demand = new Demand(cluster, offer -> refusedUntil.getOrDefault(offer, Long.MIN_VALUE) <= now);
         List<Machine> here = new ArrayList<>();
         for (Machine m : cluster.machines()) {
-            if (m.returning() || m.suspect() || m.noticed() || m.tainted()) {
+            if (m.returning() || m.unfit()) {
                 continue;
             }
             if (m.everHeard()) {
@@ -329,10 +329,9 @@
                 continue;
             }
             double bootS = cluster.typeOf(m).map(MachineType::bootS).orElse(0.0);
-            boolean useless = m.suspect() || m.noticed() || m.tainted();
             boolean idleLong = secondsSince(m.idleSince(), now) > policy.fleet().idleOfBoot() * bootS * cheapness(m)
                     && secondsSince(m.bornAt(), now) > LEAST_PAID_S;
-            if (useless || (idleLong && !kept.contains(m) && !standby.learning(cluster, now))) {
+            if (m.unfit() || (idleLong && !kept.contains(m) && !standby.learning(cluster, now))) {
                 idle.add(m);
             }
         }
--- a/src/main/java/org/spruceridge/lead/Summary.java
+++ b/src/main/java/org/spruceridge/lead/Summary.java
@@ -51,7 +51,7 @@
             spot += m.spot() ? 1 : 0;
             ordinary += m.spot() ? 0 : 1;
             idle += m.bindings().isEmpty() ? 1 : 0;
-            leaving += m.returning() || m.noticed() || m.suspect() ? 1 : 0;
+            leaving += m.returning() || m.unfit() ? 1 : 0;
             cpus += cluster.typeOf(m).map(MachineType::room).map(r -> r.cpus()).orElse(0.0);
             bound += m.used().cpus();
         }
--- a/src/main/java/org/spruceridge/node/Node.java
+++ b/src/main/java/org/spruceridge/node/Node.java
@@ -190,9 +190,8 @@
                 }
             }
         }
-        boolean reached = loop.nanos() - lastReport
-                < Times.nanos(REACHED_OF_REPORT * settings.workers().reportS());
-        return new Beacon(settings.hostName(), state.everServed() && stateServes(), reached, term, progress.build());
+        return new Beacon(
+                settings.hostName(), state.everServed() && stateServes(), workersReach(), term, progress.build());
     }
 
     private Beacon.Progress progress(String id) {
@@ -203,13 +202,20 @@
         return peers.progress(id);
     }
 
+    private boolean workersReach() {
+        return loop.nanos() - lastReport < quietNanos();
+    }
+
+    private long quietNanos() {
+        return Times.nanos(REACHED_OF_REPORT * settings.workers().reportS());
+    }
+
     /**
      * A leader that workers do not reach while they reach other nodes gives the lead up: else all leases run out, for
      * the others keep sending the workers to it.
      */
     private void yieldIfCutOff() {
-        long quiet = Times.nanos(REACHED_OF_REPORT * settings.workers().reportS());
-        if (leader != null && leader.ledFor() > quiet && loop.nanos() - lastReport > quiet && peers.anyReached()) {
+        if (leader != null && leader.ledFor() > quietNanos() && !workersReach() && peers.anyReached()) {
             election.resign("workers reach other nodes, and not this one");
         }
     }
--- a/src/main/java/org/spruceridge/peer/Peers.java
+++ b/src/main/java/org/spruceridge/peer/Peers.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableMap;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.spruceridge.net.BadMessageException;
 import org.spruceridge.net.Loop;
@@ -45,14 +46,17 @@
 
     /** True if another node lately said that the state service serves it. */
     public boolean anyServed() {
-        long now = loop.nanos();
-        return heard.values().stream().anyMatch(h -> h.beacon.stateServes() && now - h.at < FRESH);
+        return anyFresh(Beacon::stateServes);
     }
 
     /** True if workers lately reached another node. */
     public boolean anyReached() {
+        return anyFresh(Beacon::workersReach);
+    }
+
+    private boolean anyFresh(Predicate<Beacon> says) {
         long now = loop.nanos();
-        return heard.values().stream().anyMatch(h -> h.beacon.workersReach() && now - h.at < FRESH);
+        return heard.values().stream().anyMatch(h -> says.test(h.beacon) && now - h.at < FRESH);
     }
 
     /** How far a job has come, by the latest word of the newest leader. */
--- a/src/main/java/org/spruceridge/schedule/Matching.java
+++ b/src/main/java/org/spruceridge/schedule/Matching.java
@@ -134,9 +134,7 @@
             double silentS = (now - m.lastHeard()) / 1e9;
             return m.fenced()
                     && !m.returning()
-                    && !m.suspect()
-                    && !m.tainted()
-                    && !m.noticed()
+                    && !m.unfit()
                     && silentS < 2.5 * settings.workers().reportS()
                     && cluster.typeOf(m).isPresent();
         }
