--- a/src/main/java/org/spruceridge/cluster/Job.java
+++ b/src/main/java/org/spruceridge/cluster/Job.java
@@ -2,9 +2,7 @@
 
 import java.util.BitSet;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Map;
 import java.util.Set;
 import org.agrona.collections.Int2ObjectHashMap;
 
@@ -19,7 +17,6 @@
     private final BitSet done = new BitSet();
     private final BitSet taken = new BitSet();
     private final Int2ObjectHashMap<Binding> bindings = new Int2ObjectHashMap<>();
-    private final Map<Integer, Long> chunkStamps = new HashMap<>();
     private final Set<String> faultyOn = new HashSet<>();
     private boolean cancelled;
     private long notBefore = Long.MIN_VALUE;
@@ -118,11 +115,6 @@
         return n;
     }
 
-    /** Stamps of the records of finished tasks, by chunk. */
-    public Map<Integer, Long> chunkStamps() {
-        return chunkStamps;
-    }
-
     /** Machines on which a task of this job failed since one last completed. */
     public Set<String> faultyOn() {
         return faultyOn;
--- a/src/main/java/org/spruceridge/cluster/Machine.java
+++ b/src/main/java/org/spruceridge/cluster/Machine.java
@@ -9,13 +9,11 @@
 /** A machine as the leader of this term knows it. */
 public final class Machine {
     private final String name;
-    private final String type;
-    private final String zone;
-    private final boolean spot;
+    private final Kind kind;
     private final Map<TaskId, Binding> bindings = new LinkedHashMap<>();
     private final Set<String> failedJobs = new HashSet<>();
     private String address;
-    private long stamp;
+    private Room used = Room.NONE;
     private long session;
     private long sequence;
     private long leastSession;
@@ -34,12 +32,10 @@
     private long bornAt;
 
     /** {@code answeredAt} is the last moment at which any entitled node can have answered a report of it. */
-    public Machine(String name, String address, String type, String zone, boolean spot, long now, long answeredAt) {
+    public Machine(String name, String address, Kind kind, long now, long answeredAt) {
         this.name = name;
         this.address = address;
-        this.type = type;
-        this.zone = zone;
-        this.spot = spot;
+        this.kind = kind;
         this.knownSince = now;
         this.bornAt = now;
         this.lastHeard = now;
@@ -55,16 +51,20 @@
         return address;
     }
 
+    public Kind kind() {
+        return kind;
+    }
+
     public String type() {
-        return type;
+        return kind.type();
     }
 
     public String zone() {
-        return zone;
+        return kind.zone();
     }
 
     public boolean spot() {
-        return spot;
+        return kind.spot();
     }
 
     public Collection<Binding> bindings() {
@@ -77,31 +77,22 @@
 
     void bind(Binding binding) {
         bindings.put(binding.task(), binding);
+        used = used.plus(binding.job().spec().task());
     }
 
     void unbind(Binding binding, long now) {
         bindings.remove(binding.task(), binding);
         if (bindings.isEmpty()) {
             idleSince = now;
+            used = Room.NONE; // no rounding stays behind
+        } else {
+            used = used.minus(binding.job().spec().task());
         }
     }
 
     /** What all bindings of the machine take together. */
     public Room used() {
-        Room sum = Room.NONE;
-        for (Binding b : bindings.values()) {
-            sum = sum.plus(b.job().spec().task());
-        }
-        return sum;
-    }
-
-    /** The stamp of the machine's record, 0 while there is none. */
-    public long stamp() {
-        return stamp;
-    }
-
-    public void stamp(long revision) {
-        stamp = revision;
+        return used;
     }
 
     public long session() {
--- a/src/main/java/org/spruceridge/fleet/Demand.java
+++ b/src/main/java/org/spruceridge/fleet/Demand.java
@@ -11,6 +11,7 @@
 import java.util.function.Predicate;
 import org.spruceridge.cluster.Cluster;
 import org.spruceridge.cluster.JobSpec;
+import org.spruceridge.cluster.Kind;
 import org.spruceridge.cluster.Machine;
 import org.spruceridge.cluster.MachineType;
 import org.spruceridge.cluster.Room;
@@ -23,15 +24,15 @@
     private static final int MOST_NEW = 100;
 
     private final Cluster cluster;
-    private final Predicate<Offer> available;
+    private final Predicate<Kind> available;
     private final List<Bin> bins = new ArrayList<>();
-    private final Map<Offer, Integer> wanted = new HashMap<>();
+    private final Map<Kind, Integer> wanted = new HashMap<>();
     private final Map<String, Integer> perZone = new HashMap<>();
     private final Set<Machine> kept = new HashSet<>();
     private int fresh;
 
     /** {@code available} tells which offers were not refused lately. */
-    Demand(Cluster cluster, Predicate<Offer> available) {
+    Demand(Cluster cluster, Predicate<Kind> available) {
         this.cluster = cluster;
         this.available = available;
         for (Machine m : cluster.machines()) {
@@ -41,16 +42,16 @@
 
     /** Room on a machine that is there. */
     void add(Machine machine) {
-        bins.add(new Bin(new Offer(machine.type(), machine.zone(), machine.spot()), cluster.free(machine), machine));
+        bins.add(new Bin(machine.kind(), cluster.free(machine), machine));
     }
 
     /** Room that will have fallen free on a machine by the time a new one would be up. */
     void addFreed(Machine machine, Room freed) {
-        bins.add(new Bin(new Offer(machine.type(), machine.zone(), machine.spot()), freed, machine));
+        bins.add(new Bin(machine.kind(), freed, machine));
     }
 
     /** Room on a machine that was asked for. */
-    void add(Offer offer) {
+    void add(Kind offer) {
         MachineType type = cluster.types().get(offer.type());
         if (type != null) {
             bins.add(new Bin(offer, type.room(), null));
@@ -67,7 +68,7 @@
             left -= bin.take(spec, left);
         }
         while (left > 0 && fresh < MOST_NEW) {
-            Optional<Offer> offer = cheapest(spec);
+            Optional<Kind> offer = cheapest(spec);
             if (offer.isEmpty()) {
                 return;
             }
@@ -82,7 +83,7 @@
     }
 
     /** Machines to be rented, by kind. */
-    Map<Offer, Integer> wanted() {
+    Map<Kind, Integer> wanted() {
         return wanted;
     }
 
@@ -91,15 +92,15 @@
         return kept;
     }
 
-    private Optional<Offer> cheapest(JobSpec spec) {
-        List<Offer> offers = new ArrayList<>();
+    private Optional<Kind> cheapest(JobSpec spec) {
+        List<Kind> offers = new ArrayList<>();
         for (MachineType type : cluster.types().values()) {
             if (!spec.task().fitsIn(type.room())) {
                 continue;
             }
             for (String zone : type.zones()) {
                 for (boolean spot : new boolean[] {true, false}) {
-                    Offer offer = new Offer(type.name(), zone, spot);
+                    Kind offer = new Kind(type.name(), zone, spot);
                     if (spec.allows(type.name(), zone, spot) && available.test(offer)) {
                         offers.add(offer);
                     }
@@ -107,23 +108,23 @@
             }
         }
         return offers.stream()
-                .min(Comparator.comparingDouble((Offer o) -> pricePerTask(o, spec))
+                .min(Comparator.comparingDouble((Kind o) -> pricePerTask(o, spec))
                         .thenComparing(o -> perZone.getOrDefault(o.zone(), 0))
-                        .thenComparing(Offer::zone));
+                        .thenComparing(Kind::zone));
     }
 
-    private double pricePerTask(Offer offer, JobSpec spec) {
+    private double pricePerTask(Kind offer, JobSpec spec) {
         MachineType type = cluster.types().get(offer.type());
         int holds = Math.min(spec.tasks(), type.room().holds(spec.task()));
         return type.price(offer.spot()) / Math.max(1, holds);
     }
 
     private final class Bin {
-        private final Offer offer;
+        private final Kind offer;
         private final Machine machine;
         private Room free;
 
-        Bin(Offer offer, Room free, Machine machine) {
+        Bin(Kind offer, Room free, Machine machine) {
             this.offer = offer;
             this.free = free;
             this.machine = machine;
--- a/src/main/java/org/spruceridge/fleet/Fleet.java
+++ b/src/main/java/org/spruceridge/fleet/Fleet.java
@@ -18,6 +18,7 @@
 import org.spruceridge.cloud.Rental;
 import org.spruceridge.cluster.Binding;
 import org.spruceridge.cluster.Cluster;
+import org.spruceridge.cluster.Kind;
 import org.spruceridge.cluster.Machine;
 import org.spruceridge.cluster.MachineType;
 import org.spruceridge.cluster.Room;
@@ -51,14 +52,14 @@
     private final Supplier<Plan> lastPlan;
     private final Runnable changed;
     private final Standby standby;
-    private final Map<Offer, Long> refusedUntil = new HashMap<>();
+    private final Map<Kind, Long> refusedUntil = new HashMap<>();
     private final Map<String, Claim> claims = new LinkedHashMap<>();
     private final Set<String> deleting = new HashSet<>();
     private final Set<String> unlisted = new HashSet<>();
     private long claimCount;
 
     /** A rental request that is on its way. */
-    private record Claim(Offer offer, int count, long askedAt) {}
+    private record Claim(Kind offer, int count, long askedAt) {}
 
     public Fleet(
             Loop loop,
@@ -134,7 +135,8 @@
                 continue;
             }
             if (machine == null && !cluster.isGone(host.name())) {
-                machine = new Machine(host.name(), host.address(), host.type(), host.zone(), host.spot(), now, now);
+                machine = new Machine(
+                        host.name(), host.address(), new Kind(host.type(), host.zone(), host.spot()), now, now);
                 cluster.add(machine);
             }
             if (machine != null) {
@@ -271,7 +273,7 @@
                 || secondsSince(m.knownSince(), now) < 2 * settings.workers().reportS();
     }
 
-    private void rent(Offer offer, int count) {
+    private void rent(Kind offer, int count) {
         String name = term + "-" + (++claimCount);
         Claim claim = new Claim(offer, Math.min(count, CloudClient.MOST_RENTED), loop.nanos());
         claims.put(name, claim);
@@ -286,7 +288,7 @@
     }
 
     private void ask(String name, Claim claim) {
-        Offer offer = claim.offer;
+        Kind offer = claim.offer;
         cloud.rent(name, offer.type(), offer.zone(), offer.spot(), claim.count, scope.guard(rental -> {
             if (rental.kind() == Rental.Kind.UNKNOWN) {
                 // Machines may have been rented: the same claim asks what came of it and rents nothing twice.
@@ -300,10 +302,10 @@
 
     private void rented(String name, Claim claim, Rental rental) {
         long now = loop.nanos();
-        Offer offer = claim.offer;
+        Kind offer = claim.offer;
         for (String id : rental.machines()) {
             if (cluster.machine(id) == null && !cluster.isGone(id)) {
-                Machine m = new Machine(id, "", offer.type(), offer.zone(), offer.spot(), now, now);
+                Machine m = new Machine(id, "", offer, now, now);
                 m.bornAt(claim.askedAt);
                 cluster.add(m);
             }
@@ -381,7 +383,6 @@
     /** There is proof that the machine is gone, with everything on it. */
     private void gone(Machine m) {
         releaseAll(m);
-        ledger.dropMachine(m);
         cluster.remove(m);
         changed.run();
     }
--- a/src/main/java/org/spruceridge/fleet/MachineLog.java
+++ b/src/main/java/org/spruceridge/fleet/MachineLog.java
@@ -1,13 +1,9 @@
 package org.spruceridge.fleet;
 
 import org.spruceridge.cluster.Binding;
-import org.spruceridge.cluster.Machine;
 
 /** Where proof about machines goes on record. */
 public interface MachineLog {
     /** The task of the binding is certainly not on its machine; {@code done} if it completed. */
     void release(Binding binding, boolean done);
-
-    /** The machine is gone. */
-    void dropMachine(Machine machine);
 }
--- /dev/null
+++ b/src/main/java/org/spruceridge/lead/Batch.java
@@ -0,0 +1,240 @@
+package org.spruceridge.lead;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.spruceridge.cluster.Binding;
+import org.spruceridge.cluster.Job;
+import org.spruceridge.cluster.Machine;
+import org.spruceridge.lead.Pages.Page;
+import org.spruceridge.lead.Records.Chunk;
+import org.spruceridge.net.Budget.Rank;
+import org.spruceridge.record.JobRecord;
+import org.spruceridge.record.Keys;
+import org.spruceridge.record.Packed;
+import org.spruceridge.state.Transaction;
+
+/** The making of one transaction, within the limits that the state service sets. */
+final class Batch {
+    /** The record of a job's end and its marker. */
+    private static final int OPS_OF_AN_END = 2;
+    /** Room in the body for the records of ended jobs, beside the pages. */
+    private static final int MOST_ENDS_BYTES = 10 << 10;
+
+    private final Records records;
+    private final Tenure tenure;
+    private final String write;
+    private final Set<Page<Machine>> bindings = new LinkedHashSet<>();
+    private final Set<Page<Chunk>> chunks = new LinkedHashSet<>();
+    private final Map<Binding, Boolean> released = new LinkedHashMap<>();
+    private final Set<Binding> bound = new LinkedHashSet<>();
+    private final Set<Job> markers = new HashSet<>();
+    private final Map<Chunk, BitSet> ending = new HashMap<>();
+    private final Map<Job, Integer> newlyDone = new HashMap<>();
+    private final Map<Job, JsonNode> finished = new LinkedHashMap<>();
+    private final List<Runnable> undo = new ArrayList<>();
+    private int endsBytes;
+    private Transaction transaction;
+    private boolean unknown;
+
+    Batch(Records records, Tenure tenure, String write) {
+        this.records = records;
+        this.tenure = tenure;
+        this.write = write;
+    }
+
+    boolean isEmpty() {
+        return released.isEmpty() && bound.isEmpty();
+    }
+
+    Rank rank() {
+        return released.isEmpty() ? Rank.DECISIONS : Rank.REPORTS;
+    }
+
+    Map<Binding, Boolean> released() {
+        return released;
+    }
+
+    Set<Binding> bound() {
+        return bound;
+    }
+
+    Set<Job> finished() {
+        return finished.keySet();
+    }
+
+    boolean finishes(Job job) {
+        return finished.containsKey(job);
+    }
+
+    boolean unknown() {
+        return unknown;
+    }
+
+    /** No answer came: it may have been carried out, or may yet be. */
+    void becomesUnknown() {
+        unknown = true;
+    }
+
+    /** Takes a release in, unless there is no room for it. */
+    boolean release(Binding b, boolean done) {
+        Page<Machine> page = records.bindings().of(b.machine());
+        Job job = b.job();
+        boolean ends = done && !job.cancelled();
+        int index = b.task().index();
+        int inBatch = newlyDone.getOrDefault(job, 0) + (job.isDone(index) ? 0 : 1);
+        boolean last = ends && job.doneCount() + inBatch == job.spec().tasks();
+        Chunk chunk = ends && !last ? records.chunkOf(job, index) : null;
+        Page<Chunk> chunkPage = chunk == null ? null : pageOf(chunk);
+        JsonNode end = last && !finished.containsKey(job) ? endOf(job) : null;
+        int endBytes = end == null ? 0 : end.toString().length();
+        if (!fits(page, chunkPage, end != null, endBytes, null)) {
+            return false;
+        }
+        if (page == null) { // a stray, which no record knows: some page must carry the name of this write
+            page = place(b.machine());
+        }
+        bindings.add(page);
+        released.put(b, ends);
+        if (chunkPage != null) {
+            chunks.add(chunkPage);
+            ending.computeIfAbsent(chunk, c -> new BitSet()).set(index % records.chunkSize());
+        }
+        if (ends) {
+            newlyDone.put(job, inBatch);
+        }
+        if (end != null) {
+            finished.put(job, end);
+            endsBytes += endBytes;
+        }
+        return true;
+    }
+
+    /** Takes a new binding in, unless there is no room for it. */
+    boolean bind(Binding b) {
+        Machine machine = b.machine();
+        Page<Machine> page = records.bindings().of(machine);
+        if (page != null && records.bindings().isOverfull(page)) {
+            return moveAndBind(b, page);
+        }
+        if (page == null) {
+            page = place(machine);
+        }
+        if (!fits(page, null, false, 0, b.job())) {
+            return false;
+        }
+        bindings.add(page);
+        bound.add(b);
+        markers.add(b.job());
+        return true;
+    }
+
+    /** The machine's page has no room for more: the machine moves to another, both written together. */
+    private boolean moveAndBind(Binding b, Page<Machine> from) {
+        Machine machine = b.machine();
+        Page<Machine> to = records.bindings().withRoomFor(machine);
+        boolean both = fits(from, null, false, 0, b.job())
+                && bindings.size() + (bindings.contains(from) ? 0 : 1) < records.mostPages()
+                && ops() + 2 <= records.txnOps();
+        if (!both) {
+            return false;
+        }
+        bindings.add(from);
+        bindings.add(to);
+        records.bindings().put(machine, to);
+        // Were this write to fail, the machine is still recorded where it was.
+        undo.add(() -> records.bindings().put(machine, from));
+        bound.add(b);
+        markers.add(b.job());
+        return true;
+    }
+
+    private Page<Machine> place(Machine machine) {
+        Page<Machine> page = bindings.stream()
+                .filter(p -> records.bindings().wouldHold(p, machine))
+                .findFirst()
+                .orElseGet(() -> records.bindings().withRoomFor(machine));
+        records.bindings().put(machine, page);
+        return page;
+    }
+
+    private Page<Chunk> pageOf(Chunk chunk) {
+        Page<Chunk> page = records.finished().of(chunk);
+        if (page == null) {
+            page = records.finished().withRoomFor(chunk);
+            records.finished().put(chunk, page);
+        }
+        return page;
+    }
+
+    private int ops() {
+        return bindings.size() + chunks.size() + OPS_OF_AN_END * finished.size();
+    }
+
+    private boolean fits(Page<Machine> page, Page<Chunk> chunkPage, boolean end, int endBytes, Job marker) {
+        int pages = (bindings.contains(page) ? 0 : 1) + (chunkPage == null || chunks.contains(chunkPage) ? 0 : 1);
+        int ops = ops() + pages + (end ? OPS_OF_AN_END : 0);
+        int guards = 1 + ops + markers.size() + (marker == null || markers.contains(marker) ? 0 : 1);
+        boolean fits = ops <= records.txnOps()
+                && guards <= 4 * records.txnOps()
+                && (pages == 0 || bindings.size() + chunks.size() + pages <= records.mostPages())
+                && (!end || endsBytes + endBytes <= MOST_ENDS_BYTES);
+        return fits || isEmpty();
+    }
+
+    private static JsonNode endOf(Job job) {
+        return new JobRecord(job.spec(), job.submittedMs(), JobRecord.Stage.DONE).write();
+    }
+
+    Transaction transaction() {
+        if (transaction == null) {
+            transaction = build();
+        }
+        return transaction;
+    }
+
+    private Transaction build() {
+        Transaction.Builder txn = Transaction.builder().guard(Keys.LEADER, tenure.leaderStamp());
+        markers.forEach(job -> txn.guard(Keys.open(job.id()), job.stamp()));
+        bindings.forEach(p -> txn.set(p.key(), p.stamp(), records.bindingsPage(write, p, this::recorded)));
+        chunks.forEach(p -> txn.set(p.key(), p.stamp(), records.finishedPage(write, p, ending)));
+        finished.forEach((job, end) -> {
+            txn.set(Keys.job(job.id()), job.stamp(), end);
+            txn.drop(Keys.open(job.id()), job.stamp());
+        });
+        return txn.build();
+    }
+
+    private boolean recorded(Binding b) {
+        boolean before = b.stage() == Binding.Stage.COMMITTED || b.stage() == Binding.Stage.RELEASING;
+        return bound.contains(b) || (before && !released.containsKey(b));
+    }
+
+    /** A key that shows whether this transaction was carried out. */
+    String mark() {
+        return bindings.iterator().next().key();
+    }
+
+    /** True if this transaction wrote the value of {@link #mark}. */
+    boolean wrote(JsonNode value) {
+        return Packed.writeOf(value).equals(write);
+    }
+
+    /** It was carried out. */
+    void written(long revision) {
+        bindings.forEach(p -> p.stamp(revision));
+        chunks.forEach(p -> p.stamp(revision));
+    }
+
+    /** It was not, and never will be. */
+    void undo() {
+        undo.forEach(Runnable::run);
+    }
+}
--- a/src/main/java/org/spruceridge/lead/JobWatch.java
+++ b/src/main/java/org/spruceridge/lead/JobWatch.java
@@ -4,8 +4,11 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
+import org.spruceridge.cluster.Binding;
 import org.spruceridge.cluster.Cluster;
 import org.spruceridge.cluster.Job;
+import org.spruceridge.cluster.Machine;
 import org.spruceridge.net.BadMessageException;
 import org.spruceridge.net.Budget.Rank;
 import org.spruceridge.net.Cancellable;
@@ -29,16 +32,25 @@
     private final Cluster cluster;
     private final Ledger ledger;
     private final Oddities oddities;
+    private final Consumer<Machine> push;
     private final Runnable changed;
     private Cancellable watch = () -> {};
 
+    /** {@code push} is told of machines on which something has to be stopped. */
     public JobWatch(
-            Scope scope, StateClient state, Cluster cluster, Ledger ledger, Oddities oddities, Runnable changed) {
+            Scope scope,
+            StateClient state,
+            Cluster cluster,
+            Ledger ledger,
+            Oddities oddities,
+            Consumer<Machine> push,
+            Runnable changed) {
         this.scope = scope;
         this.state = state;
         this.cluster = cluster;
         this.ledger = ledger;
         this.oddities = oddities;
+        this.push = push;
         this.changed = changed;
     }
 
@@ -67,9 +79,8 @@
     public void cancelled(Job job) {
         if (!job.cancelled()) {
             job.cancel();
-            job.chunkStamps().forEach((chunk, stamp) -> ledger.drop(Keys.finished(job.id(), chunk), stamp));
-            job.chunkStamps().clear();
             ledger.withdraw(job);
+            job.bindings().stream().map(Binding::machine).distinct().toList().forEach(push);
             changed.run();
         }
     }
--- a/src/main/java/org/spruceridge/lead/Leader.java
+++ b/src/main/java/org/spruceridge/lead/Leader.java
@@ -1,12 +1,14 @@
 package org.spruceridge.lead;
 
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.spruceridge.cloud.CloudClient;
 import org.spruceridge.cluster.Cluster;
 import org.spruceridge.cluster.Job;
+import org.spruceridge.cluster.Machine;
 import org.spruceridge.cluster.MachineType;
 import org.spruceridge.config.Policy;
 import org.spruceridge.config.Settings;
@@ -16,6 +18,7 @@
 import org.spruceridge.net.Oddities;
 import org.spruceridge.net.Scope;
 import org.spruceridge.net.Times;
+import org.spruceridge.record.BindingsRecord;
 import org.spruceridge.schedule.Matching;
 import org.spruceridge.state.StateClient;
 import org.spruceridge.worker.Order;
@@ -60,15 +63,14 @@
         this.idleRound = Times.nanos(settings.workers().reportS() * IDLE_ROUND_OF_REPORT);
         Ledger.Listener events = new Ledger.Listener() {
             @Override
-            public void committed() {
-                pusher.pushAll();
+            public void committed(ImmutableSet<Machine> bound) {
+                bound.forEach(pusher::push);
                 rounds.request();
             }
 
             @Override
             public void cancelled(Job job) {
                 watch.cancelled(job);
-                pusher.pushAll();
             }
 
             @Override
@@ -83,17 +85,18 @@
                 scope,
                 cluster,
                 ledger,
-                new Matching(settings, policy, Ledger.mostBindings(settings)),
+                new Matching(
+                        settings,
+                        policy,
+                        BindingsRecord.mostBindings(settings.state().valueKb())),
                 settings,
                 policy,
                 tenure,
-                latencies);
-        this.pusher = new Pusher(scope, cluster, workers, desk, settings, tenure, leads, () -> rounds.request());
-        this.watch = new JobWatch(scope, state, cluster, ledger, oddities, () -> {
-            pusher.pushAll();
-            rounds.request();
-        });
-        this.takeover = new Takeover(loop, scope, state, cluster, ledger, tenure, settings, oddities);
+                latencies,
+                this::push);
+        this.pusher = new Pusher(scope, workers, desk, settings, tenure, leads, () -> rounds.request());
+        this.watch = new JobWatch(scope, state, cluster, ledger, oddities, pusher::push, () -> rounds.request());
+        this.takeover = new Takeover(loop, scope, state, cluster, ledger.records(), tenure, oddities);
         this.fleet = new Fleet(
                 loop,
                 scope,
@@ -154,6 +157,10 @@
         return orders;
     }
 
+    private void push(Machine machine) {
+        pusher.push(machine);
+    }
+
     private void tick() {
         rounds.request();
         scope.after(idleRound, this::tick);
--- /dev/null
+++ b/src/main/java/org/spruceridge/lead/Pages.java
@@ -0,0 +1,117 @@
+package org.spruceridge.lead;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.ToIntFunction;
+
+/**
+ * Which item is kept on which page, a page being one record that holds many items. A page's stamp stands for those of
+ * all its items.
+ */
+final class Pages<T> {
+    private final String prefix;
+    private final int capacity;
+    private final ToIntFunction<Collection<T>> bytes;
+    private final Map<T, Page<T>> places = new HashMap<>();
+    private final List<Page<T>> pages = new ArrayList<>();
+    private int lastNumber;
+
+    /** One record. */
+    static final class Page<T> {
+        private final String key;
+        private final Set<T> items = new LinkedHashSet<>();
+        private long stamp;
+
+        private Page(String key, long stamp) {
+            this.key = key;
+            this.stamp = stamp;
+        }
+
+        String key() {
+            return key;
+        }
+
+        Collection<T> items() {
+            return items;
+        }
+
+        /** 0 while it has never been written. */
+        long stamp() {
+            return stamp;
+        }
+
+        void stamp(long revision) {
+            stamp = revision;
+        }
+    }
+
+    /** {@code bytes} tells the most that the content of a page takes. */
+    Pages(String prefix, int capacity, ToIntFunction<Collection<T>> bytes) {
+        this.prefix = prefix;
+        this.capacity = capacity;
+        this.bytes = bytes;
+    }
+
+    /** Takes over a page that is on record. */
+    Page<T> recorded(String key, long stamp) {
+        Page<T> page = new Page<>(key, stamp);
+        pages.add(page);
+        lastNumber = Math.max(lastNumber, Integer.parseInt(key.substring(prefix.length())));
+        return page;
+    }
+
+    int count() {
+        return pages.size();
+    }
+
+    /** Where the item is, or null. */
+    Page<T> of(T item) {
+        return places.get(item);
+    }
+
+    void put(T item, Page<T> page) {
+        Page<T> before = places.put(item, page);
+        if (before != null) {
+            before.items.remove(item);
+        }
+        page.items.add(item);
+    }
+
+    /** The item needs no record any more; it vanishes from its page with the page's next write. */
+    void remove(T item) {
+        Page<T> page = places.remove(item);
+        if (page != null) {
+            page.items.remove(item);
+        }
+    }
+
+    int bytes(Page<T> page) {
+        return bytes.applyAsInt(page.items);
+    }
+
+    boolean isOverfull(Page<T> page) {
+        return bytes(page) > capacity;
+    }
+
+    /** True if the item could be put on this page too. */
+    boolean wouldHold(Page<T> page, T item) {
+        return bytes(page) + bytes.applyAsInt(List.of(item)) <= capacity;
+    }
+
+    /** A page, other than its own, that has room for the item: the first that fits, or a new one. */
+    Page<T> withRoomFor(T item) {
+        for (Page<T> page : pages) {
+            if (page != places.get(item) && wouldHold(page, item)) {
+                return page;
+            }
+        }
+        Page<T> page = new Page<>(prefix + (++lastNumber), 0);
+        pages.add(page);
+        return page;
+    }
+}
--- a/src/main/java/org/spruceridge/lead/Pusher.java
+++ b/src/main/java/org/spruceridge/lead/Pusher.java
@@ -1,6 +1,5 @@
 package org.spruceridge.lead;
 
-import com.google.common.collect.ImmutableList;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -9,7 +8,6 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.spruceridge.cluster.Binding;
-import org.spruceridge.cluster.Cluster;
 import org.spruceridge.cluster.Machine;
 import org.spruceridge.config.Address;
 import org.spruceridge.config.Settings;
@@ -31,7 +29,6 @@
     private static final Logger LOG = LoggerFactory.getLogger(Pusher.class);
 
     private final Scope scope;
-    private final Cluster cluster;
     private final WorkerClient workers;
     private final ReportDesk desk;
     private final BooleanSupplier leads;
@@ -39,10 +36,10 @@
     private final long term;
     private final long patience;
     private final Set<Machine> busy = new HashSet<>();
+    private final Set<Machine> again = new HashSet<>();
 
     public Pusher(
             Scope scope,
-            Cluster cluster,
             WorkerClient workers,
             ReportDesk desk,
             Settings settings,
@@ -50,7 +47,6 @@
             BooleanSupplier leads,
             Runnable changed) {
         this.scope = scope;
-        this.cluster = cluster;
         this.workers = workers;
         this.desk = desk;
         this.leads = leads;
@@ -59,16 +55,15 @@
         this.patience = Times.nanos(settings.workers().leaseS() / 4);
     }
 
-    /** Pushes whatever is due on any machine. */
-    public void pushAll() {
-        for (Machine m : ImmutableList.copyOf(cluster.machines())) {
-            if (m.fenced() && !m.tainted() && !m.address().isEmpty() && !busy.contains(m) && leads.getAsBoolean()) {
-                push(m);
-            }
+    /** Pushes whatever is due on a machine, unless a push is on its way: then once that has been answered. */
+    public void push(Machine m) {
+        if (!m.fenced() || m.tainted() || m.address().isEmpty() || !leads.getAsBoolean()) {
+            return; // the answers to its reports will do
+        }
+        if (busy.contains(m)) {
+            again.add(m);
+            return;
         }
-    }
-
-    private void push(Machine m) {
         List<Order> orders = new ArrayList<>();
         List<Binding> starts = new ArrayList<>();
         for (Binding b : m.bindings()) {
@@ -107,6 +102,9 @@
                 starts.forEach(b -> m.unresolved().remove(b.attempt()));
             }
             push.report().ifPresent(desk::learn);
+            if (again.remove(m)) {
+                push(m);
+            }
             changed.run();
         }));
     }
--- a/src/main/java/org/spruceridge/lead/ReportDesk.java
+++ b/src/main/java/org/spruceridge/lead/ReportDesk.java
@@ -108,8 +108,7 @@
         Machine machine = cluster.machine(report.machine());
         if (machine == null) {
             long now = loop.nanos();
-            machine = new Machine(
-                    report.machine(), report.address(), report.type(), report.zone(), report.spot(), now, now);
+            machine = new Machine(report.machine(), report.address(), report.kind(), now, now);
             cluster.add(machine);
             LOG.info("machine {} ({} in {}) reports and was not known", machine.name(), machine.type(), machine.zone());
         }
--- a/src/main/java/org/spruceridge/lead/Rounds.java
+++ b/src/main/java/org/spruceridge/lead/Rounds.java
@@ -1,9 +1,11 @@
 package org.spruceridge.lead;
 
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.spruceridge.cluster.Binding;
 import org.spruceridge.cluster.Cluster;
+import org.spruceridge.cluster.Machine;
 import org.spruceridge.config.Policy;
 import org.spruceridge.config.Settings;
 import org.spruceridge.net.Latencies;
@@ -25,11 +27,13 @@
     private final long spacing;
     private final Tenure tenure;
     private final Latencies latencies;
+    private final Consumer<Machine> push;
     private Plan lastPlan;
     private boolean due;
     private long lastRun;
     private long attempts;
 
+    /** {@code push} is told of machines on which something has to be stopped. */
     public Rounds(
             Loop loop,
             Scope scope,
@@ -39,7 +43,8 @@
             Settings settings,
             Policy policy,
             Tenure tenure,
-            Latencies latencies) {
+            Latencies latencies,
+            Consumer<Machine> push) {
         this.loop = loop;
         this.scope = scope;
         this.cluster = cluster;
@@ -47,6 +52,7 @@
         this.matching = matching;
         this.tenure = tenure;
         this.latencies = latencies;
+        this.push = push;
         this.spacing = Times.nanos(
                 policy.rounds().spacingOfReport() * settings.workers().reportS());
         this.lastRun = loop.nanos() - spacing;
@@ -81,6 +87,7 @@
             b.halt(Binding.Halt.SAVING);
             b.machine().lastStop(now);
             LOG.info("stopping {} to make room for work of a higher rank", b);
+            push.accept(b.machine());
         }
         if (LOG.isDebugEnabled()) {
             LOG.debug(
--- a/src/main/java/org/spruceridge/lead/Takeover.java
+++ b/src/main/java/org/spruceridge/lead/Takeover.java
@@ -16,17 +16,16 @@
 import org.spruceridge.cluster.Cluster;
 import org.spruceridge.cluster.Job;
 import org.spruceridge.cluster.Machine;
-import org.spruceridge.config.Settings;
 import org.spruceridge.net.BadMessageException;
 import org.spruceridge.net.Budget.Rank;
 import org.spruceridge.net.Loop;
 import org.spruceridge.net.Oddities;
 import org.spruceridge.net.Scope;
 import org.spruceridge.net.Times;
+import org.spruceridge.record.BindingsRecord;
 import org.spruceridge.record.FinishedRecord;
 import org.spruceridge.record.JobRecord;
 import org.spruceridge.record.Keys;
-import org.spruceridge.record.MachineRecord;
 import org.spruceridge.state.Entry;
 import org.spruceridge.state.Listing;
 import org.spruceridge.state.Result;
@@ -44,31 +43,28 @@
     private final Scope scope;
     private final StateClient state;
     private final Cluster cluster;
-    private final Ledger ledger;
+    private final Records records;
     private final Tenure tenure;
     private final Oddities oddities;
-    private final int chunkSize;
     private final Set<String> ended = new HashSet<>();
 
-    private record Recorded(String machine, long stamp, MachineRecord record) {}
+    private record Recorded(Pages.Page<Machine> page, BindingsRecord.OnMachine record) {}
 
     public Takeover(
             Loop loop,
             Scope scope,
             StateClient state,
             Cluster cluster,
-            Ledger ledger,
+            Records records,
             Tenure tenure,
-            Settings settings,
             Oddities oddities) {
         this.loop = loop;
         this.scope = scope;
         this.state = state;
         this.cluster = cluster;
-        this.ledger = ledger;
+        this.records = records;
         this.tenure = tenure;
         this.oddities = oddities;
-        this.chunkSize = FinishedRecord.chunkSize(settings.state().valueKb());
     }
 
     /** Reads everything, then hands on the revision after which changes of jobs have to be followed. */
@@ -77,7 +73,7 @@
                 Keys.OPEN,
                 open -> list(
                         Keys.FINISHED,
-                        finished -> list(Keys.MACHINES, machines -> {
+                        finished -> list(Keys.BINDINGS, machines -> {
                             addJobs(open);
                             addFinished(finished);
                             List<Recorded> recorded = readMachines(machines);
@@ -119,28 +115,28 @@
     private void addFinished(Listing finished) {
         for (Entry e : finished.entries()) {
             try {
-                FinishedRecord record = FinishedRecord.read(e.key(), e.value());
-                Job job = cluster.job(record.job());
-                if (job == null) {
-                    ledger.drop(e.key(), e.stamp()); // its job has ended
-                    continue;
+                Pages.Page<Records.Chunk> page = records.finished().recorded(e.key(), e.stamp());
+                for (FinishedRecord.Chunk chunk : FinishedRecord.read(e.value())) {
+                    Job job = cluster.job(chunk.job());
+                    if (job != null) { // else it has ended, and the next write of the page leaves it out
+                        records.finished().put(new Records.Chunk(job, chunk.number()), page);
+                        chunk.tasks().stream().forEach(i -> job.markDone(chunk.number() * records.chunkSize() + i));
+                    }
                 }
-                job.chunkStamps().put(record.chunk(), e.stamp());
-                record.tasks().stream().forEach(i -> job.markDone(record.chunk() * chunkSize + i));
             } catch (BadMessageException bad) {
                 oddities.note("unreadable record of finished tasks", bad.getMessage());
             }
         }
     }
 
-    private List<Recorded> readMachines(Listing machines) {
+    private List<Recorded> readMachines(Listing pages) {
         List<Recorded> out = new ArrayList<>();
-        for (Entry e : machines.entries()) {
+        for (Entry e : pages.entries()) {
+            Pages.Page<Machine> page = records.bindings().recorded(e.key(), e.stamp());
             try {
-                out.add(new Recorded(
-                        e.key().substring(Keys.MACHINES.length()), e.stamp(), MachineRecord.read(e.value())));
+                BindingsRecord.read(e.value()).forEach(m -> out.add(new Recorded(page, m)));
             } catch (BadMessageException bad) {
-                oddities.note("unreadable machine record", e.key() + ": " + bad.getMessage());
+                oddities.note("unreadable record of bindings", e.key() + ": " + bad.getMessage());
             }
         }
         return out;
@@ -150,7 +146,7 @@
     private void fetchEnded(List<Recorded> recorded, Runnable next) {
         Set<String> missing = new TreeSet<>();
         for (Recorded r : recorded) {
-            for (MachineRecord.Bound b : r.record().bound()) {
+            for (BindingsRecord.Bound b : r.record().bound()) {
                 if (cluster.job(b.task().job()) == null) {
                     missing.add(b.task().job());
                 }
@@ -185,25 +181,18 @@
     }
 
     private void addMachine(Recorded r) {
-        MachineRecord record = r.record();
-        Machine machine = cluster.machine(r.machine());
+        BindingsRecord.OnMachine record = r.record();
+        Machine machine = cluster.machine(record.name());
         if (machine == null) {
             // Any node entitled before this term can have answered it until the election.
-            machine = new Machine(
-                    r.machine(),
-                    record.address(),
-                    record.type(),
-                    record.zone(),
-                    record.spot(),
-                    loop.nanos(),
-                    tenure.since());
+            machine = new Machine(record.name(), "", record.kind(), loop.nanos(), tenure.since());
             cluster.add(machine);
         }
-        machine.stamp(r.stamp());
-        for (MachineRecord.Bound b : record.bound()) {
+        records.bindings().put(machine, r.page());
+        for (BindingsRecord.Bound b : record.bound()) {
             Job job = cluster.job(b.task().job());
             if (job == null || b.task().index() >= job.spec().tasks()) {
-                oddities.note("binding of an unknown task", b.task() + " on " + r.machine());
+                oddities.note("binding of an unknown task", b.task() + " on " + record.name());
                 continue;
             }
             cluster.bind(
--- a/src/main/java/org/spruceridge/net/Budget.java
+++ b/src/main/java/org/spruceridge/net/Budget.java
@@ -4,10 +4,12 @@
 import java.util.Deque;
 import java.util.EnumMap;
 import java.util.Map;
+import java.util.function.IntSupplier;
 
 /**
  * Two allowances a second, requests and changes, handed out by rank. Work that finds none left waits its turn in a
- * bounded queue, so the service behind is never asked for more than its published limit.
+ * bounded queue, so the service behind is never asked for more than its published limit. Work that only reads never
+ * waits for changes.
  */
 public final class Budget {
     /** What the work is for; earlier ranks go first. */
@@ -25,15 +27,16 @@
     private final Loop loop;
     private final Allowance requests;
     private final Allowance changes;
-    private final Map<Rank, Deque<Waiting>> queues = new EnumMap<>(Rank.class);
+    private final Map<Rank, Queue> queues = new EnumMap<>(Rank.class);
     private Cancellable wakeUp;
+    private long taken;
 
     public Budget(Loop loop, double requestsPerS, double changesPerS) {
         this.loop = loop;
         this.requests = new Allowance(requestsPerS, loop.nanos());
         this.changes = new Allowance(changesPerS, loop.nanos());
         for (Rank rank : Rank.values()) {
-            queues.put(rank, new ArrayDeque<>());
+            queues.put(rank, new Queue());
         }
     }
 
@@ -46,17 +49,25 @@
 
     /** Runs the work when its turn comes; false if too much is waiting already, and then it never runs. */
     public boolean submit(Rank rank, int changeCount, Runnable work) {
-        Deque<Waiting> queue = queues.get(rank);
+        return submit(rank, changeCount, () -> {
+            work.run();
+            return changeCount;
+        });
+    }
+
+    /** The same for work that tells only at its turn how many changes it makes, at most {@code mostChanges}. */
+    public boolean submit(Rank rank, int mostChanges, IntSupplier work) {
+        Queue queue = queues.get(rank);
         if (queue.size() >= QUEUE_LIMIT || (rank == Rank.SUBMISSIONS && waitS(queue) > LONGEST_WAIT_S)) {
             return false;
         }
-        queue.add(new Waiting(changeCount, work));
+        (mostChanges > 0 ? queue.changing : queue.reading).add(new Waiting(++taken, mostChanges, work));
         drain();
         return true;
     }
 
-    private double waitS(Deque<Waiting> queue) {
-        int queued = queue.stream().mapToInt(Waiting::changeCount).sum();
+    private double waitS(Queue queue) {
+        int queued = queue.changing.stream().mapToInt(Waiting::mostChanges).sum();
         return Math.max(queue.size() / requests.perS, queued / changes.perS);
     }
 
@@ -65,28 +76,65 @@
             wakeUp.cancel();
             wakeUp = null;
         }
-        for (Rank rank : Rank.values()) {
-            Deque<Waiting> queue = queues.get(rank);
-            while (!queue.isEmpty()) {
-                Waiting first = queue.peek();
-                long now = loop.nanos();
-                long wait = Math.max(requests.waitFor(1, now), changes.waitFor(first.changeCount, now));
-                if (wait > 0) {
-                    if (wakeUp != null) {
-                        wakeUp.cancel(); // set by work that submitted more work
+        long wait = 0;
+        while (wait == 0) {
+            long now = loop.nanos();
+            wait = requests.waitFor(1, now);
+            if (wait == 0) {
+                Deque<Waiting> next = null;
+                for (Rank rank : Rank.values()) {
+                    Queue queue = queues.get(rank);
+                    // Once changes are short for a rank, none after it may take what it waits for.
+                    if (wait == 0 && !queue.changing.isEmpty()) {
+                        wait = changes.waitFor(queue.changing.peek().mostChanges, now);
                     }
-                    wakeUp = loop.after(wait, this::drain);
-                    return;
+                    next = queue.first(wait == 0);
+                    if (next != null) {
+                        break;
+                    }
+                }
+                if (next == null) {
+                    break;
                 }
-                queue.remove();
-                requests.take(1);
-                changes.take(first.changeCount);
-                first.work.run();
+                wait = 0;
+                run(next.remove());
             }
         }
+        if (wakeUp != null) {
+            wakeUp.cancel(); // set by work that submitted more work
+            wakeUp = null;
+        }
+        if (wait > 0 && queues.values().stream().anyMatch(q -> q.size() > 0)) {
+            wakeUp = loop.after(wait, this::drain);
+        }
     }
 
-    private record Waiting(int changeCount, Runnable work) {}
+    private void run(Waiting work) {
+        requests.take(1);
+        changes.take(work.mostChanges);
+        changes.take(work.work.getAsInt() - work.mostChanges);
+    }
+
+    private record Waiting(long number, int mostChanges, IntSupplier work) {}
+
+    /** What waits of one rank, in the order of its coming. */
+    private static final class Queue {
+        private final Deque<Waiting> changing = new ArrayDeque<>();
+        private final Deque<Waiting> reading = new ArrayDeque<>();
+
+        int size() {
+            return changing.size() + reading.size();
+        }
+
+        /** Where the first work is that may run now, or null. */
+        Deque<Waiting> first(boolean mayChange) {
+            boolean change = mayChange && !changing.isEmpty();
+            if (change && (reading.isEmpty() || changing.peek().number < reading.peek().number)) {
+                return changing;
+            }
+            return reading.isEmpty() ? null : reading;
+        }
+    }
 
     /** A bucket that fills at a rate and holds one second's worth. */
     private static final class Allowance {
--- /dev/null
+++ b/src/main/java/org/spruceridge/record/BindingsRecord.java
@@ -0,0 +1,147 @@
+package org.spruceridge.record;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableListMultimap;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessageUnpacker;
+import org.spruceridge.cluster.Binding;
+import org.spruceridge.cluster.Kind;
+import org.spruceridge.cluster.Machine;
+import org.spruceridge.cluster.TaskId;
+import org.spruceridge.net.BadMessageException;
+
+/** One page of bindings: what is bound to each of many machines, grouped by their kind. */
+public final class BindingsRecord {
+    /** Array headers and numbers of a machine beside its name, and of one of its bindings beside the job's id. */
+    private static final int MACHINE_BYTES = 5;
+
+    /** A number of a task and an attempt, at most. */
+    private static final int BOUND_BYTES = 5 + 9;
+
+    private static final int KIND_BYTES = 12;
+    /** The longest id of a job, with its header. */
+    private static final int JOB_BYTES = 22;
+
+    private BindingsRecord() {}
+
+    /** One task and attempt. */
+    public record Bound(TaskId task, long attempt) {}
+
+    /** A machine and what is bound to it. */
+    public record OnMachine(String name, Kind kind, ImmutableList<Bound> bound) {}
+
+    /** The most bindings of one machine that a page holds. */
+    public static int mostBindings(double valueKb) {
+        int own = Packed.sizeOf("x".repeat(60)) + MACHINE_BYTES + 2 * KIND_BYTES + 200;
+        return Math.max(1, (Packed.capacity(valueKb) - own) / (BOUND_BYTES + JOB_BYTES));
+    }
+
+    /** The most bytes that a page of these machines takes with all that is bound to them now. */
+    public static int bytes(Collection<Machine> machines) {
+        Set<Kind> kinds = new HashSet<>();
+        int sum = 5;
+        for (Machine m : machines) {
+            if (kinds.add(m.kind())) {
+                sum += KIND_BYTES + m.type().length() + m.zone().length();
+            }
+            sum += MACHINE_BYTES + 1 + m.name().length();
+            String job = "";
+            for (Binding b : m.bindings()) {
+                // Bindings of one job that follow each other share its id; leaving some out never takes more.
+                sum += 1 + size(b.task().index()) + size(b.attempt());
+                sum += b.task().job().equals(job) ? 0 : b.task().job().length();
+                job = b.task().job();
+            }
+        }
+        return sum;
+    }
+
+    /** A page with those bindings of the machines that belong on record. */
+    public static ObjectNode write(String write, Collection<Machine> machines, Predicate<Binding> recorded) {
+        ImmutableListMultimap.Builder<Kind, OnMachine> byKind = ImmutableListMultimap.builder();
+        for (Machine m : machines) {
+            ImmutableList.Builder<Bound> list = ImmutableList.builder();
+            for (Binding b : m.bindings()) {
+                if (recorded.test(b)) {
+                    list.add(new Bound(b.task(), b.attempt()));
+                }
+            }
+            ImmutableList<Bound> bound = list.build();
+            if (!bound.isEmpty()) {
+                byKind.put(m.kind(), new OnMachine(m.name(), m.kind(), bound));
+            }
+        }
+        ImmutableListMultimap<Kind, OnMachine> groups = byKind.build();
+        return Packed.write(write, out -> {
+            out.packArrayHeader(groups.keySet().size());
+            for (Kind kind : groups.keySet()) {
+                out.packArrayHeader(4);
+                out.packString(kind.type());
+                out.packString(kind.zone());
+                out.packBoolean(kind.spot());
+                out.packArrayHeader(groups.get(kind).size());
+                for (OnMachine m : groups.get(kind)) {
+                    writeMachine(out, m);
+                }
+            }
+        });
+    }
+
+    /** What a number takes in MessagePack, at most. */
+    private static int size(long number) {
+        return number < 1 << 7 ? 1 : number < 1 << 16 ? 3 : number < 1L << 32 ? 5 : 9;
+    }
+
+    private static void writeMachine(MessageBufferPacker out, OnMachine m) throws IOException {
+        out.packString(m.name);
+        out.packArrayHeader(m.bound.size());
+        String job = "";
+        for (Bound b : m.bound) {
+            if (b.task.job().equals(job)) {
+                out.packNil(); // the same as before
+            } else {
+                out.packString(b.task.job());
+                job = b.task.job();
+            }
+            out.packInt(b.task.index());
+            out.packLong(b.attempt);
+        }
+    }
+
+    public static List<OnMachine> read(JsonNode value) throws BadMessageException {
+        return Packed.read(value, in -> {
+            List<OnMachine> machines = new ArrayList<>();
+            int kinds = in.unpackArrayHeader();
+            for (int i = 0; i < kinds; i++) {
+                in.unpackArrayHeader();
+                Kind kind = new Kind(in.unpackString(), in.unpackString(), in.unpackBoolean());
+                int count = in.unpackArrayHeader();
+                for (int j = 0; j < count; j++) {
+                    machines.add(readMachine(in, kind));
+                }
+            }
+            return machines;
+        });
+    }
+
+    private static OnMachine readMachine(MessageUnpacker in, Kind kind) throws IOException {
+        String name = in.unpackString();
+        ImmutableList.Builder<Bound> bound = ImmutableList.builder();
+        int count = in.unpackArrayHeader();
+        String job = "";
+        for (int i = 0; i < count; i++) {
+            job = in.tryUnpackNil() ? job : in.unpackString();
+            bound.add(new Bound(new TaskId(job, in.unpackInt()), in.unpackLong()));
+        }
+        return new OnMachine(name, kind, bound.build());
+    }
+}
--- a/src/main/java/org/spruceridge/record/FinishedRecord.java
+++ b/src/main/java/org/spruceridge/record/FinishedRecord.java
@@ -2,36 +2,55 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.util.Base64;
+import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.Collection;
+import java.util.List;
 import org.spruceridge.net.BadMessageException;
-import org.spruceridge.net.Json;
 
-/** Which tasks of one chunk of a job are finished, as a bit set in Base64. */
-public record FinishedRecord(String job, int chunk, BitSet tasks, String write) {
+/** One page of finished tasks: a bit set for each chunk of the tasks of an unfinished job. */
+public final class FinishedRecord {
+    /** Headers and the chunk's number. */
+    private static final int ENTRY_BYTES = 14;
 
-    /** How many tasks go into a chunk, so that a full one takes about a third of the largest value. */
+    private FinishedRecord() {}
+
+    /** The finished tasks of one chunk of a job, counted from its first. */
+    public record Chunk(String job, int number, BitSet tasks) {}
+
+    /** How many tasks go into a chunk, so that a full one takes about a third of a page. */
     public static int chunkSize(double valueKb) {
-        return Math.max(64, (int) (valueKb * 1024 * 8 / 4));
+        return Math.max(64, Packed.capacity(valueKb) / 3 * 8);
+    }
+
+    /** The most bytes that a chunk of so many tasks takes. */
+    public static int bytes(String job, int tasks) {
+        return ENTRY_BYTES + job.length() + (tasks + 7) / 8;
     }
 
-    public static FinishedRecord read(String key, JsonNode value) throws BadMessageException {
-        String rest = key.substring(Keys.FINISHED.length());
-        int slash = rest.lastIndexOf('/');
-        try {
-            return new FinishedRecord(
-                    rest.substring(0, slash),
-                    Integer.parseInt(rest.substring(slash + 1)),
-                    BitSet.valueOf(Base64.getDecoder().decode(Json.text(value, "bits"))),
-                    value.path("w").asText());
-        } catch (IndexOutOfBoundsException | IllegalArgumentException e) {
-            throw new BadMessageException("not a record of finished tasks: " + key);
-        }
+    public static ObjectNode write(String write, Collection<Chunk> chunks) {
+        return Packed.write(write, out -> {
+            out.packArrayHeader(chunks.size());
+            for (Chunk c : chunks) {
+                byte[] bits = c.tasks.toByteArray();
+                out.packString(c.job);
+                out.packInt(c.number);
+                out.packBinaryHeader(bits.length);
+                out.writePayload(bits);
+            }
+        });
     }
 
-    public ObjectNode toJson() {
-        return Json.object()
-                .put("bits", Base64.getEncoder().encodeToString(tasks.toByteArray()))
-                .put("w", write);
+    public static List<Chunk> read(JsonNode value) throws BadMessageException {
+        return Packed.read(value, in -> {
+            List<Chunk> chunks = new ArrayList<>();
+            int count = in.unpackArrayHeader();
+            for (int i = 0; i < count; i++) {
+                String job = in.unpackString();
+                int number = in.unpackInt();
+                chunks.add(new Chunk(job, number, BitSet.valueOf(in.readPayload(in.unpackBinaryHeader()))));
+            }
+            return chunks;
+        });
     }
 }
--- a/src/main/java/org/spruceridge/record/Keys.java
+++ b/src/main/java/org/spruceridge/record/Keys.java
@@ -7,8 +7,10 @@
     public static final String CATALOGUE = "catalogue";
     public static final String JOBS = "job/";
     public static final String OPEN = "open/";
+    /** Pages of finished tasks of unfinished jobs. */
     public static final String FINISHED = "parts/";
-    public static final String MACHINES = "machine/";
+    /** Pages of bindings. */
+    public static final String BINDINGS = "bound/";
 
     private Keys() {}
 
@@ -21,14 +23,4 @@
     public static String open(String id) {
         return OPEN + id;
     }
-
-    /** One chunk of the record of an unfinished job's finished tasks. */
-    public static String finished(String id, int chunk) {
-        return FINISHED + id + "/" + chunk;
-    }
-
-    /** What is bound to a machine. */
-    public static String machine(String name) {
-        return MACHINES + name;
-    }
 }
--- /dev/null
+++ b/src/main/java/org/spruceridge/record/Packed.java
@@ -0,0 +1,76 @@
+package org.spruceridge.record;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.Base64;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+import org.spruceridge.net.BadMessageException;
+import org.spruceridge.net.Json;
+
+/**
+ * MessagePack inside a JSON value of the state service, beside the name of the transaction that wrote it: a value
+ * holds several times as much as it would in plain JSON.
+ */
+public final class Packed {
+    private static final String BYTES = "b";
+    private static final String WRITE = "w";
+    /** About what a value takes beside the packed bytes. */
+    private static final int FRAME_BYTES = 128;
+
+    private Packed() {}
+
+    /** Writes a part of a page. */
+    public interface Writer {
+        void write(MessageBufferPacker out) throws IOException;
+    }
+
+    /** Reads what was written. */
+    public interface Reader<T> {
+        T read(MessageUnpacker in) throws IOException;
+    }
+
+    /** How many packed bytes go into a value of this size. */
+    public static int capacity(double valueKb) {
+        return Math.max(256, (int) ((valueKb * 1024 - FRAME_BYTES) * 3 / 4));
+    }
+
+    public static ObjectNode write(String write, Writer writer) {
+        try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+            writer.write(out);
+            return Json.object()
+                    .put(BYTES, Base64.getEncoder().encodeToString(out.toByteArray()))
+                    .put(WRITE, write);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    public static <T> T read(JsonNode value, Reader<T> reader) throws BadMessageException {
+        byte[] bytes;
+        try {
+            bytes = Base64.getDecoder().decode(Json.text(value, BYTES));
+        } catch (IllegalArgumentException e) {
+            throw new BadMessageException("not Base64");
+        }
+        try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes)) {
+            return reader.read(in);
+        } catch (IOException | MessagePackException e) {
+            throw new BadMessageException("not a packed record");
+        }
+    }
+
+    /** The name of the transaction that wrote a value. */
+    public static String writeOf(JsonNode value) {
+        return value.path(WRITE).asText();
+    }
+
+    /** The most that a text takes. */
+    static int sizeOf(String text) {
+        return 5 + 3 * text.length();
+    }
+}
--- a/src/main/java/org/spruceridge/state/StateClient.java
+++ b/src/main/java/org/spruceridge/state/StateClient.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.spruceridge.config.Address;
@@ -96,13 +97,35 @@
     }
 
     public void commit(Transaction txn, Rank rank, Consumer<TxnResult> done) {
-        send(rank, txn.changeCount(), HttpCall.post("/txn", txn.body()), PATIENCE, answer -> {
+        send(rank, txn.changeCount(), HttpCall.post("/txn", txn.body()), PATIENCE, judged(done));
+    }
+
+    /**
+     * Commits a transaction that is made only when its turn comes, of at most so many changes, so that it carries all
+     * that has gathered by then. With null nothing is sent, and {@code done} is not called.
+     */
+    public void commitAtTurn(Rank rank, int mostChanges, Supplier<Transaction> make, Consumer<TxnResult> done) {
+        boolean taken = budget.submit(rank, mostChanges, () -> {
+            Transaction txn = make.get();
+            if (txn == null) {
+                return 0;
+            }
+            http.call(address, HttpCall.post("/txn", txn.body()), PATIENCE, timed(served(judged(done))));
+            return txn.changeCount();
+        });
+        if (!taken) {
+            done.accept(TxnResult.of(TxnResult.Kind.REFUSED));
+        }
+    }
+
+    private Consumer<HttpAnswer> judged(Consumer<TxnResult> done) {
+        return answer -> {
             TxnResult result = readTxn(answer);
             if (result.kind() == TxnResult.Kind.REJECTED) {
                 LOG.error("the state service calls a transaction malformed: {}", new String(answer.body()));
             }
             done.accept(result);
-        });
+        };
     }
 
     /** Asks for a grant of this time to live. */
--- a/src/main/java/org/spruceridge/worker/Report.java
+++ b/src/main/java/org/spruceridge/worker/Report.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.collect.ImmutableList;
 import java.util.OptionalDouble;
+import org.spruceridge.cluster.Kind;
 import org.spruceridge.cluster.TaskId;
 import org.spruceridge.net.BadMessageException;
 import org.spruceridge.net.Json;
@@ -11,9 +12,7 @@
 public record Report(
         String machine,
         String address,
-        String type,
-        String zone,
-        boolean spot,
+        Kind kind,
         long session,
         long sequence,
         long token,
@@ -51,9 +50,7 @@
         return new Report(
                 Json.text(node, "host"),
                 Json.text(node, "endpoint"),
-                Json.text(node, "build"),
-                Json.text(node, "grove"),
-                Json.flag(node, "windfall"),
+                new Kind(Json.text(node, "build"), Json.text(node, "grove"), Json.flag(node, "windfall")),
                 Json.whole(node, "watch"),
                 Json.whole(node, "tally"),
                 Json.whole(node, "warrant"),
--- a/src/test/java/org/spruceridge/sim/World.java
+++ b/src/test/java/org/spruceridge/sim/World.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.function.Consumer;
 import org.spruceridge.config.Address;
 import org.spruceridge.config.Policy;
@@ -21,6 +22,7 @@
 import org.spruceridge.net.Response;
 import org.spruceridge.node.Node;
 import org.spruceridge.peer.PeerLink;
+import org.spruceridge.record.BindingsRecord;
 
 /**
  * A small deployment on simulated time: nodes as they are, everything around them from these stand-ins. It keeps its
@@ -187,6 +189,19 @@
                 .putNull("dueS");
     }
 
+    /** What the records say is bound to each machine. */
+    public List<BindingsRecord.OnMachine> recorded() {
+        List<BindingsRecord.OnMachine> out = new ArrayList<>();
+        for (String key : new TreeSet<>(state.keys("bound/"))) {
+            try {
+                out.addAll(BindingsRecord.read(state.value(key)));
+            } catch (BadMessageException e) {
+                throw new AssertionError(e);
+            }
+        }
+        return out;
+    }
+
     /** Every start so far, as {@code part@machine}. */
     public List<String> starts() {
         return starts;
