Machines that score alike share a column of the matrix; room is held where tasks do not fit

Cause: each round scored each job on each machine and sorted that, and looked at every machine for every task that found no room. Scores depend on kind and fullness alone, so the matrix has a column for each pair of those, with the greedy order as it was. Room is now held once for each row, at its best entry, for those tasks that fit nowhere at that moment, and only on machines on which they do not fit: before, room in which a task fitted at once could be held for that same task.

--- a/src/main/java/org/spruceridge/schedule/Aging.java
+++ b/src/main/java/org/spruceridge/schedule/Aging.java
@@ -1,11 +1,9 @@
 package org.spruceridge.schedule;
 
-import org.spruceridge.cluster.Machine;
-
 /** The Anti-aging term, equation 13. */
 public final class Aging implements Heuristic {
     @Override
-    public double value(Row row, Machine machine, double remainingS) {
+    public double value(Row row, Column column, double remainingS) {
         double ageS = Math.max(0, row.candidate().ageS());
         return ageS / (ageS + remainingS);
     }
--- /dev/null
+++ b/src/main/java/org/spruceridge/schedule/Column.java
@@ -0,0 +1,11 @@
+package org.spruceridge.schedule;
+
+import org.spruceridge.cluster.Kind;
+
+/**
+ * One column of the matrix: machines that score alike for every candidate, being of one kind and equally full.
+ *
+ * @param price what such a machine costs, as a share of the dearest in the matrix
+ * @param fullness the share of such a machine's CPUs that is taken
+ */
+public record Column(Kind kind, double price, double fullness) {}
--- a/src/main/java/org/spruceridge/schedule/Deadline.java
+++ b/src/main/java/org/spruceridge/schedule/Deadline.java
@@ -1,7 +1,5 @@
 package org.spruceridge.schedule;
 
-import org.spruceridge.cluster.Machine;
-
 /** The Deadline term, equations 4 to 7. */
 public final class Deadline implements Heuristic {
     /** Equations 4 and 5: 0 with more than one spare run time left, 1 once the deadline cannot be met. */
@@ -14,7 +12,7 @@
     }
 
     @Override
-    public double value(Row row, Machine machine, double remainingS) {
+    public double value(Row row, Column column, double remainingS) {
         return (1 - urgency(row.candidate().slackS(), remainingS)) * row.urgency();
     }
 }
--- a/src/main/java/org/spruceridge/schedule/Matching.java
+++ b/src/main/java/org/spruceridge/schedule/Matching.java
@@ -5,16 +5,14 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.Set;
 import org.spruceridge.cluster.Binding;
 import org.spruceridge.cluster.Cluster;
 import org.spruceridge.cluster.Job;
 import org.spruceridge.cluster.JobSpec;
+import org.spruceridge.cluster.Kind;
 import org.spruceridge.cluster.Machine;
 import org.spruceridge.cluster.MachineType;
 import org.spruceridge.cluster.Room;
@@ -53,23 +51,32 @@
         private final Cluster cluster;
         private final long now;
         private final long wallMs;
-        private final Map<Machine, Room> free = new LinkedHashMap<>();
-        private final Map<Machine, Integer> count = new HashMap<>();
+        private final List<Slot> slots = new ArrayList<>();
         private final Map<String, Room> teamUse = new HashMap<>();
         private final Map<Job, Map<String, Integer>> zones = new HashMap<>();
-        private final Map<Job, Integer> nextIndex = new HashMap<>();
-        private final Map<Job, Integer> left = new HashMap<>();
-        private final Set<Machine> held = new HashSet<>();
+        private final Map<Job, Row> rows = new LinkedHashMap<>();
         private final List<Placement> placements = new ArrayList<>();
+        private int held;
+
+        /** What is still to be placed of a job. */
+        private static final class Row {
+            private int left;
+            private int nextIndex;
+            private boolean begun;
+
+            Row(int left) {
+                this.left = left;
+            }
+        }
 
         Round(Cluster cluster, long now, long wallMs) {
             this.cluster = cluster;
             this.now = now;
             this.wallMs = wallMs;
             for (Machine m : cluster.machines()) {
-                if (usable(m)) {
-                    free.put(m, cluster.free(m));
-                    count.put(m, m.bindings().size());
+                MachineType type = cluster.types().get(m.type());
+                if (type != null && usable(m)) {
+                    slots.add(new Slot(m, type));
                 }
             }
             for (String team : settings.teams().keySet()) {
@@ -82,132 +89,140 @@
             for (Job job : cluster.jobs()) {
                 if (job.waiting() > 0 && job.notBefore() <= now) {
                     waiting.add(candidate(job, 0));
-                    left.put(job, job.waiting());
+                    rows.put(job, new Row(job.waiting()));
                 }
             }
-            List<PriorityMatrix.Entry> entries = matrix.entries(
-                    waiting.build(),
-                    ImmutableList.copyOf(free.keySet()),
-                    this::eligible,
-                    this::pricePerCpu,
-                    this::fullness);
+            Map<Column, List<Slot>> columns = columns();
+            List<PriorityMatrix.Entry> entries =
+                    matrix.entries(waiting.build(), ImmutableList.copyOf(columns.keySet()), this::eligible);
             entries.sort(Comparator.comparingDouble((PriorityMatrix.Entry e) -> -e.score())
                     .thenComparingLong(e -> e.candidate().job().submittedMs())
                     .thenComparing(e -> e.candidate().job().id()));
-            int i = 0;
-            while (i < entries.size()) {
-                PriorityMatrix.Entry first = entries.get(i);
-                List<Machine> tied = new ArrayList<>();
-                for (; i < entries.size(); i++) {
-                    PriorityMatrix.Entry e = entries.get(i);
-                    if (e.candidate() != first.candidate() || e.score() != first.score()) {
-                        break;
-                    }
-                    tied.add(e.machine());
-                }
-                bindAll(first.candidate().job(), tied);
-                boolean lastOfRow = i == entries.size() || entries.get(i).candidate() != first.candidate();
-                if (lastOfRow && left.get(first.candidate().job()) > 0) {
-                    hold(first.candidate());
+            for (PriorityMatrix.Entry e : entries) {
+                Job job = e.candidate().job();
+                Row row = rows.get(job);
+                if (!row.begun) {
+                    row.begun = true;
+                    hold(e.candidate(), row);
                 }
+                bindAll(job, row, columns.get(e.column()));
             }
             List<Binding> stops = new Stopping().run(entries);
             return new Plan(ImmutableList.copyOf(placements), ImmutableList.copyOf(stops), unplaced());
         }
 
+        /** Machines by what their scores depend on. */
+        private Map<Column, List<Slot>> columns() {
+            Map<Kind, Double> prices = new HashMap<>();
+            double dearest = 0;
+            for (Slot s : slots) {
+                double price = prices.computeIfAbsent(
+                        s.machine().kind(),
+                        k -> s.type().price(k.spot()) / s.type().room().cpus());
+                dearest = Math.max(dearest, price);
+            }
+            Map<Column, List<Slot>> columns = new LinkedHashMap<>();
+            for (Slot s : slots) {
+                Kind kind = s.machine().kind();
+                double share = dearest > 0 ? prices.get(kind) / dearest : 1;
+                columns.computeIfAbsent(new Column(kind, share, s.fullness()), c -> new ArrayList<>())
+                        .add(s);
+            }
+            return columns;
+        }
+
         private Candidate candidate(Job job, double elapsedS) {
             return new Candidate(
                     job, elapsedS, (wallMs - job.submittedMs()) / 1000.0, (job.deadlineMs() - wallMs) / 1000.0);
         }
 
-        private double fullness(Machine m) {
-            return 1 - free.get(m).cpus() / cluster.types().get(m.type()).room().cpus();
-        }
-
-        private double pricePerCpu(Machine m) {
-            return cluster.typeOf(m)
-                    .map(t -> t.price(m.spot()) / t.room().cpus())
-                    .orElse(0.0);
-        }
-
         private boolean usable(Machine m) {
             double silentS = (now - m.lastHeard()) / 1e9;
             return m.fenced()
                     && !m.returning()
                     && !m.unfit()
-                    && silentS < 2.5 * settings.workers().reportS()
-                    && cluster.typeOf(m).isPresent();
+                    && silentS < 2.5 * settings.workers().reportS();
         }
 
-        private boolean eligible(Candidate c, Machine m) {
-            Job job = c.job();
-            Optional<MachineType> type = cluster.typeOf(m);
-            return type.isPresent()
-                    && job.spec().task().fitsIn(type.get().room())
-                    && job.spec().allows(m.type(), m.zone(), m.spot())
-                    && (job.doubted() || !job.faultyOn().contains(m.name()));
+        private boolean eligible(Candidate c, Column column) {
+            return allowed(c.job().spec(), column.kind());
+        }
+
+        private boolean allowed(JobSpec spec, Kind kind) {
+            return spec.task().fitsIn(cluster.types().get(kind.type()).room())
+                    && spec.allows(kind.type(), kind.zone(), kind.spot());
         }
 
-        private void bindAll(Job job, List<Machine> tied) {
-            while (left.getOrDefault(job, 0) > 0) {
-                Optional<Machine> best = tied.stream()
-                        .filter(m -> fits(job, m))
-                        .min(Comparator.comparingDouble(m -> free.get(m).cpus()));
-                if (best.isEmpty()) {
+        private boolean mayRun(Job job, Slot s) {
+            return s.suits(job)
+                    && s.count() < mostBindings
+                    && zoneAllowed(job, s.machine().zone());
+        }
+
+        /** Binds what the machines of one column take, always on the fullest that still has room. */
+        private void bindAll(Job job, Row row, List<Slot> tied) {
+            Room task = job.spec().task();
+            while (row.left > 0 && teamHolds(job.spec()) > 0) {
+                Slot best = null;
+                for (Slot s : tied) {
+                    boolean better =
+                            best == null || s.free().cpus() < best.free().cpus();
+                    if (better && s.fits(task) && mayRun(job, s)) {
+                        best = s;
+                    }
+                }
+                if (best == null) {
                     return;
                 }
-                bind(job, best.get());
+                // It stays the fullest until no more of these tasks fit.
+                while (row.left > 0 && best.fits(task) && mayRun(job, best) && teamHolds(job.spec()) > 0) {
+                    bind(job, row, best);
+                }
             }
         }
 
         /**
-         * Keeps what is free on the machines that will have room soonest for tasks of this row, out of the reach of
-         * rows of a lower score: else each slot that falls free goes to a smaller task and large ones never run.
+         * Keeps what is free on the machines that will have room soonest for those tasks of this row that fit nowhere
+         * now, out of the reach of rows of a lower score: else each slot that falls free goes to a smaller task and
+         * large ones never run.
          */
-        private void hold(Candidate c) {
+        private void hold(Candidate c, Row row) {
             Job job = c.job();
-            int wanted = Math.min(left.get(job), teamHolds(job.spec()));
-            int most = (int) Math.ceil(free.size() * policy.rounds().heldShare());
-            for (int n = 0; n < wanted && held.size() < most; n++) {
-                Optional<Machine> soonest = free.keySet().stream()
-                        .filter(m -> !held.contains(m) && eligible(c, m) && zoneAllowed(job, m.zone()))
-                        .filter(m -> roomInS(m, job.spec().task()) < Double.MAX_VALUE)
-                        .min(Comparator.comparingDouble(
-                                m -> roomInS(m, job.spec().task())));
-                if (soonest.isEmpty()) {
-                    return;
-                }
-                held.add(soonest.get());
-                free.computeIfPresent(
-                        soonest.get(),
-                        (m, room) -> room.minus(room.least(job.spec().task())));
+            Room task = job.spec().task();
+            int most = (int) Math.ceil(slots.size() * policy.rounds().heldShare());
+            int wanted = Math.min(row.left, teamHolds(job.spec()));
+            if (held >= most || wanted == 0) {
+                return;
             }
-        }
-
-        /** Seconds until the tasks on the machine will have left enough room, by their estimates. */
-        private double roomInS(Machine m, Room task) {
-            List<Binding> bySoonest = new ArrayList<>(m.bindings());
-            bySoonest.sort(Comparator.comparingDouble(this::remainingS));
-            Room room = free.get(m);
-            for (Binding b : bySoonest) {
-                room = room.plus(b.job().spec().task());
-                if (task.fitsIn(room)) {
-                    return remainingS(b);
+            List<Waiting> later = new ArrayList<>();
+            for (Slot s : slots) {
+                if (!allowed(job.spec(), s.machine().kind()) || !mayRun(job, s)) {
+                    continue;
                 }
+                if (s.fits(task)) {
+                    wanted -= s.free().holds(task);
+                    if (wanted <= 0) {
+                        return;
+                    }
+                } else if (!s.held()) {
+                    double inS = s.roomInS(task, this::remainingS);
+                    if (inS < Double.POSITIVE_INFINITY) {
+                        later.add(new Waiting(s, inS));
+                    }
+                }
+            }
+            later.sort(Comparator.comparingDouble(Waiting::inS));
+            for (Waiting next : later.subList(0, Math.min(later.size(), Math.min(wanted, most - held)))) {
+                next.slot.hold(task);
+                held++;
             }
-            return Double.MAX_VALUE;
         }
 
-        private double remainingS(Binding b) {
-            return estimates.remainingS(candidate(b.job(), b.elapsedS(now)), b.machine());
-        }
+        /** A machine that will have room after some time. */
+        private record Waiting(Slot slot, double inS) {}
 
-        private boolean fits(Job job, Machine m) {
-            JobSpec spec = job.spec();
-            return spec.task().fitsIn(free.get(m))
-                    && count.get(m) < mostBindings
-                    && teamHolds(spec) > 0
-                    && zoneAllowed(job, m.zone());
+        private double remainingS(Binding b) {
+            return estimates.remainingS(candidate(b.job(), b.elapsedS(now)));
         }
 
         /** How many more tasks of this size the team's limit lets in. */
@@ -240,22 +255,23 @@
             return used;
         }
 
-        private void bind(Job job, Machine m) {
-            int index = job.nextWaiting(nextIndex.getOrDefault(job, 0));
-            nextIndex.put(job, index + 1);
-            left.merge(job, -1, Integer::sum);
-            free.computeIfPresent(m, (k, room) -> room.minus(job.spec().task()));
-            count.merge(m, 1, Integer::sum);
-            teamUse.computeIfPresent(
-                    job.spec().team(), (k, room) -> room.plus(job.spec().task()));
-            zones.computeIfAbsent(job, this::zonesOf).merge(m.zone(), 1, Integer::sum);
-            placements.add(new Placement(job, index, m));
+        private void bind(Job job, Row row, Slot slot) {
+            JobSpec spec = job.spec();
+            int index = job.nextWaiting(row.nextIndex);
+            row.nextIndex = index + 1;
+            row.left--;
+            slot.take(spec.task());
+            teamUse.computeIfPresent(spec.team(), (k, room) -> room.plus(spec.task()));
+            if (spec.oneZone() || spec.spread()) {
+                zones.computeIfAbsent(job, this::zonesOf).merge(slot.machine().zone(), 1, Integer::sum);
+            }
+            placements.add(new Placement(job, index, slot.machine()));
         }
 
         private ImmutableMap<Job, Integer> unplaced() {
             ImmutableMap.Builder<Job, Integer> out = ImmutableMap.builder();
-            left.forEach((job, n) -> {
-                int wanted = job.doubted() ? 0 : Math.min(n, teamHolds(job.spec()));
+            rows.forEach((job, row) -> {
+                int wanted = job.doubted() ? 0 : Math.min(row.left, teamHolds(job.spec()));
                 if (wanted > 0) {
                     out.put(job, wanted);
                 }
@@ -265,66 +281,88 @@
 
         /** Stops running tasks for waiting ones of a higher rank that would otherwise miss their deadline. */
         private final class Stopping {
-            private final Map<Machine, Room> coming = new LinkedHashMap<>();
-            private final Set<Machine> stopping = new HashSet<>();
+            private final Map<Slot, Room> coming = new LinkedHashMap<>();
+            private final List<Binding> stops = new ArrayList<>();
+
+            /** A running task that may give way, and what stopping it throws away. */
+            private record Victim(Slot slot, Binding binding, double loss) {}
 
             List<Binding> run(List<PriorityMatrix.Entry> entries) {
-                for (Machine m : free.keySet()) {
-                    Room room = free.get(m);
-                    for (Binding b : m.bindings()) {
-                        boolean leaving = b.halt() != Binding.Halt.NO || b.phase() == Binding.Phase.ENDED;
-                        room = leaving ? room.plus(b.job().spec().task()) : room;
-                    }
-                    coming.put(m, room);
-                }
-                List<Binding> stops = new ArrayList<>();
-                Map<Job, Boolean> seen = new LinkedHashMap<>();
+                Map<Job, Candidate> pressing = new LinkedHashMap<>();
                 for (PriorityMatrix.Entry e : entries) {
                     Job job = e.candidate().job();
-                    boolean pressing = e.urgency() > 0 && e.urgency() < 1;
-                    if (pressing && left.get(job) > 0 && seen.put(job, true) == null) {
-                        int wanted = Math.min(left.get(job), teamHolds(job.spec()));
-                        for (int i = 0; i < wanted && makeRoom(e.candidate(), stops); i++) {}
+                    if (e.urgency() > 0 && e.urgency() < 1 && rows.get(job).left > 0) {
+                        pressing.putIfAbsent(job, e.candidate());
                     }
                 }
+                if (!pressing.isEmpty()) {
+                    slots.forEach(s -> coming.put(s, roomComing(s)));
+                    pressing.values().forEach(this::makeRoom);
+                }
                 return stops;
             }
 
-            private boolean makeRoom(Candidate c, List<Binding> stops) {
-                Room task = c.job().spec().task();
-                for (Machine m : coming.keySet()) {
-                    if (eligible(c, m) && task.fitsIn(coming.get(m)) && zoneAllowed(c.job(), m.zone())) {
-                        coming.computeIfPresent(m, (k, room) -> room.minus(task));
-                        return true; // room is being made already
+            /** What is free on a machine, or is being left by tasks that end. */
+            private Room roomComing(Slot s) {
+                Room room = s.free();
+                for (Binding b : s.machine().bindings()) {
+                    boolean leaving = b.halt() != Binding.Halt.NO || b.phase() == Binding.Phase.ENDED;
+                    room = leaving ? room.plus(b.job().spec().task()) : room;
+                }
+                return room;
+            }
+
+            private void makeRoom(Candidate c) {
+                Job job = c.job();
+                Room task = job.spec().task();
+                int wanted = Math.min(rows.get(job).left, teamHolds(job.spec()));
+                List<Victim> victims = new ArrayList<>();
+                for (Slot s : slots) {
+                    if (wanted <= 0) {
+                        return;
+                    }
+                    if (!allowed(job.spec(), s.machine().kind()) || !mayRun(job, s)) {
+                        continue;
+                    }
+                    int there = Math.min(wanted, coming.get(s).holds(task)); // room is being made already
+                    for (int i = 0; i < there; i++) {
+                        coming.computeIfPresent(s, (k, room) -> room.minus(task));
+                    }
+                    wanted -= there;
+                    if (there == 0 && mayStop(s.machine())) {
+                        Victim least = leastLoss(c, s);
+                        if (least != null) {
+                            victims.add(least);
+                        }
                     }
                 }
-                Optional<Binding> victim = coming.keySet().stream()
-                        .filter(m -> eligible(c, m) && zoneAllowed(c.job(), m.zone()) && mayStop(m))
-                        .flatMap(m -> m.bindings().stream())
-                        .filter(b -> isVictim(c, b))
-                        .min(Comparator.comparingDouble(this::loss));
-                victim.ifPresent(b -> {
-                    Machine m = b.machine();
-                    stops.add(b);
-                    stopping.add(m);
-                    coming.computeIfPresent(
-                            m, (k, room) -> room.plus(b.job().spec().task()).minus(task));
-                });
-                return victim.isPresent();
+                victims.sort(Comparator.comparingDouble(Victim::loss));
+                for (Victim v : victims.subList(0, Math.min(wanted, victims.size()))) {
+                    stops.add(v.binding);
+                    Room after = coming.get(v.slot).plus(v.binding.job().spec().task());
+                    coming.put(v.slot, after.minus(task));
+                }
+            }
+
+            private Victim leastLoss(Candidate c, Slot s) {
+                Victim least = null;
+                for (Binding b : s.machine().bindings()) {
+                    if (isVictim(c, b, coming.get(s)) && (least == null || loss(b) < least.loss)) {
+                        least = new Victim(s, b, loss(b));
+                    }
+                }
+                return least;
             }
 
             /** One stop per machine and period, those of this round counted. */
             private boolean mayStop(Machine m) {
-                if (stopping.contains(m)) {
-                    return false;
-                }
                 boolean recent = m.lastStop() != Long.MIN_VALUE
                         && (now - m.lastStop()) / 1e9 < policy.stops().perMachineS();
-                return !recent;
+                return !recent && stops.stream().noneMatch(b -> b.machine() == m);
             }
 
-            private boolean isVictim(Candidate c, Binding b) {
-                Room after = coming.get(b.machine()).plus(b.job().spec().task());
+            private boolean isVictim(Candidate c, Binding b, Room free) {
+                Room after = free.plus(b.job().spec().task());
                 return b.halt() == Binding.Halt.NO
                         && (b.phase() == Binding.Phase.RUNNING || b.phase() == Binding.Phase.FETCHING)
                         && c.job().spec().rank().outranks(b.job().spec().rank())
--- a/src/main/java/org/spruceridge/schedule/Packing.java
+++ b/src/main/java/org/spruceridge/schedule/Packing.java
@@ -1,14 +1,12 @@
 package org.spruceridge.schedule;
 
-import org.spruceridge.cluster.Machine;
-
 /**
  * Ours: how full a machine is. Ties alone do not keep small tasks together once scores differ between machines, and
  * tasks that take a whole machine then find none.
  */
 public final class Packing implements Heuristic {
     @Override
-    public double value(Row row, Machine machine, double remainingS) {
-        return row.fullness().applyAsDouble(machine);
+    public double value(Row row, Column column, double remainingS) {
+        return column.fullness();
     }
 }
--- a/src/main/java/org/spruceridge/schedule/PriorityMatrix.java
+++ b/src/main/java/org/spruceridge/schedule/PriorityMatrix.java
@@ -1,81 +1,66 @@
 package org.spruceridge.schedule;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableMap;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BiPredicate;
-import java.util.function.ToDoubleFunction;
-import org.spruceridge.cluster.Machine;
 import org.spruceridge.config.Policy.Weights;
 
-/** The Job-Machine matrix: the weighted sum of all terms for each candidate on each machine that can run it. */
+/**
+ * The Job-Machine matrix: the weighted sum of all terms for each candidate on each machine that can run it. Machines
+ * that score alike for every candidate share a column, so that its size follows what differs and not what is there.
+ */
 public final class PriorityMatrix {
     private final Estimates estimates;
-    private final ImmutableMap<Heuristic, Double> terms;
+    private final ImmutableList<Term> terms;
+
+    private record Term(Heuristic heuristic, double weight) {}
 
     /** One entry of the matrix. */
-    public record Entry(Candidate candidate, Machine machine, double score, double urgency) {}
+    public record Entry(Candidate candidate, Column column, double score, double urgency) {}
 
     public PriorityMatrix(Weights weights, Estimates estimates) {
         this.estimates = estimates;
-        this.terms = ImmutableMap.of(
-                new Deadline(), weights.deadline(),
-                new Overhead(), weights.overhead(),
-                new Wait(), weights.waiting(),
-                new Aging(), weights.aging(),
-                new Thrift(), weights.thrift(),
-                new Packing(), weights.packing());
+        this.terms = ImmutableList.of(
+                new Term(new Deadline(), weights.deadline()),
+                new Term(new Overhead(), weights.overhead()),
+                new Term(new Wait(), weights.waiting()),
+                new Term(new Aging(), weights.aging()),
+                new Term(new Thrift(), weights.thrift()),
+                new Term(new Packing(), weights.packing()));
     }
 
     /** All entries; {@code eligible} is the Minimal requirements heuristic, a filter before any score. */
     public List<Entry> entries(
             ImmutableList<Candidate> candidates,
-            ImmutableList<Machine> machines,
-            BiPredicate<Candidate, Machine> eligible,
-            ToDoubleFunction<Machine> prices,
-            ToDoubleFunction<Machine> fullness) {
-        double dearest = machines.stream().mapToDouble(prices).max().orElse(0);
-        ToDoubleFunction<Machine> shares = m -> dearest > 0 ? prices.applyAsDouble(m) / dearest : 1;
+            ImmutableList<Column> columns,
+            BiPredicate<Candidate, Column> eligible) {
         double longestS = 0;
-        List<List<Machine>> rows = new ArrayList<>();
+        List<List<Column>> rows = new ArrayList<>();
         for (Candidate c : candidates) {
-            List<Machine> row = new ArrayList<>();
-            for (Machine m : machines) {
-                if (eligible.test(c, m)) {
-                    row.add(m);
-                    longestS = Math.max(longestS, estimates.remainingS(c, m));
+            List<Column> row = new ArrayList<>();
+            for (Column column : columns) {
+                if (eligible.test(c, column)) {
+                    row.add(column);
                 }
             }
             rows.add(row);
+            longestS = Math.max(longestS, row.isEmpty() ? 0 : estimates.remainingS(c));
         }
         List<Entry> entries = new ArrayList<>();
         for (int i = 0; i < candidates.size(); i++) {
-            score(candidates.get(i), rows.get(i), longestS, shares, fullness, entries);
-        }
-        return entries;
-    }
-
-    private void score(
-            Candidate c,
-            List<Machine> row,
-            double longestS,
-            ToDoubleFunction<Machine> prices,
-            ToDoubleFunction<Machine> fullness,
-            List<Entry> entries) {
-        double urgency = 0;
-        for (Machine m : row) {
-            urgency += Deadline.urgency(c.slackS(), estimates.remainingS(c, m));
-        }
-        Heuristic.Row shared =
-                new Heuristic.Row(c, row.isEmpty() ? 0 : urgency / row.size(), longestS, prices, fullness);
-        for (Machine m : row) {
-            double remainingS = estimates.remainingS(c, m);
-            double sum = 0;
-            for (var term : terms.entrySet()) {
-                sum += term.getValue() * term.getKey().value(shared, m, remainingS);
+            Candidate c = candidates.get(i);
+            double remainingS = estimates.remainingS(c);
+            // Equation 7 takes the mean over the machines of the row, on which the remaining time is the same.
+            Heuristic.Row row = new Heuristic.Row(c, Deadline.urgency(c.slackS(), remainingS), longestS);
+            for (Column column : rows.get(i)) {
+                double sum = 0;
+                for (Term term : terms) {
+                    sum += term.weight * term.heuristic.value(row, column, remainingS);
+                }
+                entries.add(new Entry(c, column, sum, row.urgency()));
             }
-            entries.add(new Entry(c, m, sum, shared.urgency()));
         }
+        return entries;
     }
 }
--- a/src/test/java/org/spruceridge/schedule/HeuristicsTest.java
+++ b/src/test/java/org/spruceridge/schedule/HeuristicsTest.java
@@ -12,14 +12,13 @@
 import org.spruceridge.cluster.Job;
 import org.spruceridge.cluster.JobSpec;
 import org.spruceridge.cluster.Kind;
-import org.spruceridge.cluster.Machine;
 import org.spruceridge.cluster.Rank;
 import org.spruceridge.cluster.Room;
 import org.spruceridge.config.Policy;
 
 /** The document's equations against values worked out by hand. */
 final class HeuristicsTest {
-    private static final Machine MACHINE = new Machine("i-1", "", new Kind("t", "z", false), 0, 0);
+    private static final Column COLUMN = new Column(new Kind("t", "z", false), 1, 0.5);
 
     static Job job(int number, double estimateS, OptionalDouble deadlineS) {
         return new Job(
@@ -58,8 +57,8 @@
     @CsvSource({"60, 40, 0.5, 0.25", "100, 40, 0.4, 0.4", "39, 40, 1, 0", "50, 40, 0.75, 0.1875"})
     void deadline(double slackS, double remainingS, double meanUrgency, double expected) {
         Candidate c = new Candidate(job(1, 40, OptionalDouble.of(100)), 0, 0, slackS);
-        Heuristic.Row row = new Heuristic.Row(c, meanUrgency, 100, m -> 1, m -> 0.5);
-        assertEquals(expected, new Deadline().value(row, MACHINE, remainingS), 1e-9);
+        Heuristic.Row row = new Heuristic.Row(c, meanUrgency, 100);
+        assertEquals(expected, new Deadline().value(row, COLUMN, remainingS), 1e-9);
     }
 
     // Equation 8: elapsed / max(remaining, elapsed).
@@ -67,10 +66,7 @@
     @CsvSource({"0, 40, 0", "10, 40, 0.25", "40, 40, 1", "90, 10, 1"})
     void overhead(double elapsedS, double remainingS, double expected) {
         Candidate c = new Candidate(job(1, 50, OptionalDouble.empty()), elapsedS, 0, 0);
-        assertEquals(
-                expected,
-                new Overhead().value(new Heuristic.Row(c, 0, 100, m -> 1, m -> 0.5), MACHINE, remainingS),
-                1e-9);
+        assertEquals(expected, new Overhead().value(new Heuristic.Row(c, 0, 100), COLUMN, remainingS), 1e-9);
     }
 
     // Equation 12: 1 - remaining / longest remaining.
@@ -78,10 +74,7 @@
     @CsvSource({"10, 100, 0.9", "100, 100, 0", "25, 100, 0.75"})
     void waiting(double remainingS, double longestS, double expected) {
         Candidate c = new Candidate(job(1, 50, OptionalDouble.empty()), 0, 0, 0);
-        assertEquals(
-                expected,
-                new Wait().value(new Heuristic.Row(c, 0, longestS, m -> 1, m -> 0.5), MACHINE, remainingS),
-                1e-9);
+        assertEquals(expected, new Wait().value(new Heuristic.Row(c, 0, longestS), COLUMN, remainingS), 1e-9);
     }
 
     // Equation 13: age / (age + remaining).
@@ -89,18 +82,17 @@
     @CsvSource({"0, 40, 0", "40, 40, 0.5", "120, 40, 0.75"})
     void aging(double ageS, double remainingS, double expected) {
         Candidate c = new Candidate(job(1, 50, OptionalDouble.empty()), 0, ageS, 0);
-        assertEquals(
-                expected, new Aging().value(new Heuristic.Row(c, 0, 100, m -> 1, m -> 0.5), MACHINE, remainingS), 1e-9);
+        assertEquals(expected, new Aging().value(new Heuristic.Row(c, 0, 100), COLUMN, remainingS), 1e-9);
     }
 
     @Test
     void remainingTimeIsFlooredAtTenSeconds() {
         Estimates estimates = new Estimates(10);
         Job job = job(1, 40, OptionalDouble.empty());
-        assertEquals(40, estimates.remainingS(new Candidate(job, 0, 0, 0), MACHINE));
-        assertEquals(15, estimates.remainingS(new Candidate(job, 25, 0, 0), MACHINE));
-        assertEquals(10, estimates.remainingS(new Candidate(job, 35, 0, 0), MACHINE));
-        assertEquals(10, estimates.remainingS(new Candidate(job, 400, 0, 0), MACHINE));
+        assertEquals(40, estimates.remainingS(new Candidate(job, 0, 0, 0)));
+        assertEquals(15, estimates.remainingS(new Candidate(job, 25, 0, 0)));
+        assertEquals(10, estimates.remainingS(new Candidate(job, 35, 0, 0)));
+        assertEquals(10, estimates.remainingS(new Candidate(job, 400, 0, 0)));
     }
 
     @Test
@@ -110,12 +102,7 @@
         Candidate longer = new Candidate(job(2, 80, OptionalDouble.empty()), 0, 20, Double.POSITIVE_INFINITY);
         List<PriorityMatrix.Entry> entries = new PriorityMatrix(
                         Policy.defaults().weights(), new Estimates(10))
-                .entries(
-                        ImmutableList.of(pressing, longer),
-                        ImmutableList.of(MACHINE),
-                        (c, m) -> true,
-                        m -> 1,
-                        m -> 0.5);
+                .entries(ImmutableList.of(pressing, longer), ImmutableList.of(COLUMN), (c, m) -> true);
         // 15 * (1 - 0.5) * 0.5 + 40 * 0 + 8 * (1 - 40 / 80) + 5 * 40 / (40 + 40) = 3.75 + 4 + 2.5
         // and, of ours, 2 * (1 - 1) for the one price there is + 3 * 0.5 for a machine half full.
         assertEquals(11.75, entries.get(0).score(), 1e-9);
