Heard is not reached, late copies refresh nothing, users' changes have an allowance of their own

Causes: a machine that heard nothing kept its tasks bound for ever, as each of its reports counted as contact and its tasks were ordered again and again; reports with an older token, which may be copies of any age, refreshed when a machine was heard and brought returned ones back to a new leader; a node without state service and peers sent workers to a leader long gone and called itself healthy; a lone deaf worker that wandered from node to node took the lead from each in turn. Now a machine in a new session, or with an order that it does not carry out, gets no work and gives its tasks back until it shows that it is reached; reports count only with this term's token; workers are sent on only by fresh word; a node that hears nobody is unhealthy; a leader yields to the others once in ten leases. Machines are not given up while the leader itself is behind. Each has its story on simulated time.

--- a/src/main/java/org/spruceridge/cluster/Binding.java
+++ b/src/main/java/org/spruceridge/cluster/Binding.java
@@ -35,6 +35,7 @@
     private Phase phase = Phase.ABSENT;
     private boolean pushed;
     private boolean stopPushed;
+    private long orderedAt = Machine.NEVER;
     private long runningSince;
     private final long boundAt;
 
@@ -97,6 +98,9 @@
         if (seen == Phase.RUNNING && phase != Phase.RUNNING) {
             runningSince = now;
         }
+        if (seen != phase) {
+            orderedAt = Machine.NEVER;
+        }
         phase = seen;
     }
 
@@ -105,6 +109,16 @@
         return phase == Phase.RUNNING || phase == Phase.SAVING ? (now - runningSince) / 1e9 : 0;
     }
 
+    /** Since when the worker has had an order for this task that it has not carried out. */
+    public long orderedAt() {
+        return orderedAt;
+    }
+
+    /** An order is on its way; the first that is not carried out counts. */
+    public void ordered(long now) {
+        orderedAt = Math.min(orderedAt, now);
+    }
+
     /** A start was sent straight to the worker. */
     public boolean pushed() {
         return pushed;
--- a/src/main/java/org/spruceridge/cluster/Machine.java
+++ b/src/main/java/org/spruceridge/cluster/Machine.java
@@ -8,6 +8,9 @@
 
 /** A machine as the leader of this term knows it. */
 public final class Machine {
+    /** A moment that has not come. */
+    public static final long NEVER = Long.MAX_VALUE;
+
     private final String name;
     private final Kind kind;
     private final Map<TaskId, Binding> bindings = new LinkedHashMap<>();
@@ -27,6 +30,8 @@
     private boolean suspect;
     private final Set<Long> unresolved = new HashSet<>();
     private boolean tainted;
+    private long doubtedSince = NEVER;
+    private long greetedAt = NEVER;
     private long idleSince;
     private long lastStop = Long.MIN_VALUE;
     private long bornAt;
@@ -105,6 +110,11 @@
                 && (reportSession > session || (reportSession == session && reportSequence > sequence));
     }
 
+    /** It was up before this term, as its bindings tell: it is waited for like one that was heard. */
+    public void expected() {
+        everHeard = true;
+    }
+
     /** Takes note of a report. */
     public void heard(long reportSession, long reportSequence, String reportAddress, long now) {
         if (!everHeard) {
@@ -112,6 +122,10 @@
         }
         if (reportSession > session) {
             voidPushes();
+            // Its lease ran out: perhaps our answers do not reach it. It has to show that something does.
+            if (session > 0 && doubtedSince == NEVER) {
+                doubtedSince = now;
+            }
         }
         session = reportSession;
         sequence = reportSequence;
@@ -124,6 +138,7 @@
     public void endSession() {
         leastSession = session + 1;
         fenced = false;
+        greetedAt = NEVER;
         voidPushes();
     }
 
@@ -141,9 +156,28 @@
         tainted = true;
     }
 
-    /** Nothing more is placed here: it is taken for faulty, about to be taken away, or a late start may reach it. */
+    /** An order of ours was carried out or answered. */
+    public void reached() {
+        doubtedSince = NEVER;
+    }
+
+    /** It is heard, but there is reason to think that nothing we say reaches it. */
+    public boolean doubted() {
+        return doubtedSince != NEVER;
+    }
+
+    /** Since when an order has been waiting for it, or its reach has been in doubt; {@link #NEVER} if neither. */
+    public long unreachedSince() {
+        long since = doubtedSince;
+        for (Binding b : bindings.values()) {
+            since = Math.min(since, b.orderedAt());
+        }
+        return since;
+    }
+
+    /** Nothing more is placed here: it is taken for faulty, about to be taken away, perhaps out of reach, or a late start may come. */
     public boolean unfit() {
-        return suspect || noticed() || tainted;
+        return suspect || noticed() || tainted || doubted();
     }
 
     private void voidPushes() {
@@ -172,8 +206,15 @@
         return lastAnswered;
     }
 
-    public void answered(long now) {
+    /** Its report is answered; {@code known} if it showed this term's token. */
+    public void answered(long now, boolean known) {
         lastAnswered = now;
+        greetedAt = known ? NEVER : Math.min(greetedAt, now);
+    }
+
+    /** When it was first handed this term's token that it has not shown since; {@link #NEVER} if it has. */
+    public long greetedAt() {
+        return greetedAt;
     }
 
     /** When the cloud will take the machine away; Long.MAX_VALUE if no notice was given. */
--- a/src/main/java/org/spruceridge/fleet/Fleet.java
+++ b/src/main/java/org/spruceridge/fleet/Fleet.java
@@ -57,6 +57,8 @@
     private final Set<String> deleting = new HashSet<>();
     private final Set<String> unlisted = new HashSet<>();
     private long claimCount;
+    private long lastTick;
+    private long behindUntil = Long.MIN_VALUE;
 
     /** A rental request that is on its way. */
     private record Claim(Kind offer, int count, long askedAt) {}
@@ -85,6 +87,7 @@
         this.lastPlan = lastPlan;
         this.changed = changed;
         this.standby = new Standby(settings, loop.nanos());
+        this.lastTick = loop.nanos();
     }
 
     public void start() {
@@ -111,9 +114,17 @@
     }
 
     private void tick() {
+        long now = loop.nanos();
+        if (now - lastTick > Times.nanos(settings.workers().reportS())) {
+            // This node does not keep up: what it has not heard yet may well have been said.
+            behindUntil = now + Times.nanos(settings.workers().leaseS() / 2);
+        }
+        lastTick = now;
         if (leads.getAsBoolean()) {
             endLeases();
-            deleteLost();
+            if (now >= behindUntil) {
+                deleteLost();
+            }
             rentAndReturn();
         }
         scope.after(Times.nanos(settings.workers().reportS() / 3), this::tick);
@@ -179,7 +190,10 @@
         }
     }
 
-    /** Deletes machines that fell silent or never came up; the deletion proves that their tasks are gone. */
+    /**
+     * Deletes machines that fell silent, that are heard but not reached, or that never came up; the deletion proves
+     * that their tasks are gone.
+     */
     private void deleteLost() {
         long now = loop.nanos();
         double silentS = policy.fleet().silentOfLease() * settings.workers().leaseS();
@@ -188,12 +202,12 @@
             if (m.everHeard()) {
                 int[] counts = heardOfZone.computeIfAbsent(m.zone(), z -> new int[2]);
                 counts[0]++;
-                counts[1] += secondsSince(m.lastHeard(), now) < silentS ? 1 : 0;
+                counts[1] += outOfTouchS(m, now) < silentS ? 1 : 0;
             }
         }
         List<Machine> lost = new ArrayList<>();
         for (Machine m : cluster.machines()) {
-            double silentForS = secondsSince(m.lastHeard(), now);
+            double silentForS = outOfTouchS(m, now);
             if (!m.everHeard()) {
                 double bootS = cluster.typeOf(m).map(MachineType::bootS).orElse(Double.MAX_VALUE);
                 boolean stuck = secondsSince(m.bornAt(), now) > policy.fleet().stuckOfBoot() * bootS;
@@ -216,6 +230,12 @@
         }
     }
 
+    /** How long the machine has not been heard, or has been heard without doing as it was told. */
+    private static double outOfTouchS(Machine m, long now) {
+        double silentS = secondsSince(m.lastHeard(), now);
+        return m.unreachedSince() == Machine.NEVER ? silentS : Math.max(silentS, secondsSince(m.unreachedSince(), now));
+    }
+
     private static double secondsSince(long moment, long now) {
         return (now - moment) / 1e9;
     }
@@ -333,7 +353,8 @@
             double bootS = cluster.typeOf(m).map(MachineType::bootS).orElse(0.0);
             boolean idleLong = secondsSince(m.idleSince(), now) > policy.fleet().idleOfBoot() * bootS * cheapness(m)
                     && secondsSince(m.bornAt(), now) > LEAST_PAID_S;
-            if (m.unfit() || (idleLong && !kept.contains(m) && !standby.learning(cluster, now))) {
+            boolean useless = m.unfit() && !(m.doubted() && beingAsked(m, now));
+            if (useless || (idleLong && !kept.contains(m) && !standby.learning(cluster, now))) {
                 idle.add(m);
             }
         }
@@ -342,6 +363,11 @@
         }
     }
 
+    /** Its reach came into doubt a moment ago, and it has been asked for a sign. */
+    private boolean beingAsked(Machine m, long now) {
+        return secondsSince(m.unreachedSince(), now) < settings.workers().leaseS() / 2;
+    }
+
     /** The lowest price of a machine's type against its own: the dearer it is, the sooner it is given back. */
     private double cheapness(Machine m) {
         return cluster.typeOf(m)
--- a/src/main/java/org/spruceridge/lead/Leader.java
+++ b/src/main/java/org/spruceridge/lead/Leader.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.spruceridge.cloud.CloudClient;
@@ -79,7 +80,7 @@
             }
         };
         this.ledger = new Ledger(loop, scope, state, cluster, tenure, settings, latencies, events);
-        this.desk = new ReportDesk(loop, cluster, ledger, tenure, settings, oddities);
+        this.desk = new ReportDesk(loop, cluster, ledger, tenure, settings, oddities, this::available);
         this.rounds = new Rounds(
                 loop,
                 scope,
@@ -94,7 +95,7 @@
                 tenure,
                 latencies,
                 this::push);
-        this.pusher = new Pusher(scope, workers, desk, settings, tenure, leads, () -> rounds.request());
+        this.pusher = new Pusher(loop, scope, workers, desk, settings, tenure, leads, () -> rounds.request());
         this.watch = new JobWatch(scope, state, cluster, ledger, oddities, pusher::push, () -> rounds.request());
         this.takeover = new Takeover(loop, scope, state, cluster, ledger.records(), tenure, oddities);
         this.fleet = new Fleet(
@@ -147,14 +148,19 @@
         return cluster;
     }
 
-    /** Takes a report; before the picture is complete it is only greeted. */
-    public List<Order> report(Report report) {
+    /** Takes a report; before the picture is complete it is only greeted. Empty if it is not to be answered. */
+    public Optional<List<Order>> report(Report report) {
         if (!ready) {
-            return desk.greet(report);
+            return Optional.of(desk.greet(report));
+        }
+        return desk.givenUp(report) ? Optional.empty() : Optional.of(desk.take(report));
+    }
+
+    private void available(Machine machine) {
+        if (machine.doubted()) {
+            pusher.probe(machine);
         }
-        List<Order> orders = desk.take(report);
         rounds.request();
-        return orders;
     }
 
     private void push(Machine machine) {
--- a/src/main/java/org/spruceridge/lead/Pusher.java
+++ b/src/main/java/org/spruceridge/lead/Pusher.java
@@ -11,6 +11,7 @@
 import org.spruceridge.cluster.Machine;
 import org.spruceridge.config.Address;
 import org.spruceridge.config.Settings;
+import org.spruceridge.net.Loop;
 import org.spruceridge.net.Scope;
 import org.spruceridge.net.Times;
 import org.spruceridge.worker.Order;
@@ -28,6 +29,7 @@
 public final class Pusher {
     private static final Logger LOG = LoggerFactory.getLogger(Pusher.class);
 
+    private final Loop loop;
     private final Scope scope;
     private final WorkerClient workers;
     private final ReportDesk desk;
@@ -39,6 +41,7 @@
     private final Set<Machine> again = new HashSet<>();
 
     public Pusher(
+            Loop loop,
             Scope scope,
             WorkerClient workers,
             ReportDesk desk,
@@ -46,6 +49,7 @@
             Tenure tenure,
             BooleanSupplier leads,
             Runnable changed) {
+        this.loop = loop;
         this.scope = scope;
         this.workers = workers;
         this.desk = desk;
@@ -55,6 +59,13 @@
         this.patience = Times.nanos(settings.workers().leaseS() / 4);
     }
 
+    /** Asks a machine for a sign that our words reach it. */
+    public void probe(Machine m) {
+        if (leads.getAsBoolean()) {
+            send(m, List.of(), List.of());
+        }
+    }
+
     /** Pushes whatever is due on a machine, unless a push is on its way: then once that has been answered. */
     public void push(Machine m) {
         if (!m.fenced() || m.tainted() || m.address().isEmpty() || !leads.getAsBoolean()) {
@@ -77,11 +88,16 @@
             if (start || stop) {
                 orders.add(order);
                 b.pushed(start, stop);
+                b.ordered(loop.nanos());
             }
         }
         if (orders.isEmpty()) {
             return;
         }
+        send(m, orders, starts);
+    }
+
+    private void send(Machine m, List<Order> orders, List<Binding> starts) {
         Address address;
         try {
             address = Address.parse(m.address());
@@ -101,6 +117,11 @@
             } else {
                 starts.forEach(b -> m.unresolved().remove(b.attempt()));
             }
+            if (push.report().isPresent()) {
+                m.reached();
+            } else if (m.doubted() && !m.returning()) {
+                scope.after(patience, () -> probe(m));
+            }
             push.report().ifPresent(desk::learn);
             if (again.remove(m)) {
                 push(m);
--- a/src/main/java/org/spruceridge/lead/ReportDesk.java
+++ b/src/main/java/org/spruceridge/lead/ReportDesk.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.spruceridge.cluster.Binding;
@@ -34,24 +35,31 @@
     private final long term;
     private final Settings settings;
     private final Oddities oddities;
+    private final Consumer<Machine> available;
 
-    public ReportDesk(Loop loop, Cluster cluster, Ledger ledger, Tenure tenure, Settings settings, Oddities oddities) {
+    /** {@code available} is told of machines that begin to report, in this term or after their lease ran out. */
+    public ReportDesk(
+            Loop loop,
+            Cluster cluster,
+            Ledger ledger,
+            Tenure tenure,
+            Settings settings,
+            Oddities oddities,
+            Consumer<Machine> available) {
         this.loop = loop;
         this.cluster = cluster;
         this.ledger = ledger;
         this.term = tenure.term();
         this.settings = settings;
         this.oddities = oddities;
+        this.available = available;
     }
 
     /** Takes note that a machine reported, and hands it this term's token; its tasks are not looked at. */
     public List<Order> greet(Report report) {
-        if (!cluster.isGone(report.machine())) { // else a late report of a machine that was given back
-            Machine machine = machine(report);
-            if (machine.isNews(report.session(), report.sequence())) {
-                machine.heard(report.session(), report.sequence(), report.address(), loop.nanos());
-            }
-            machine.answered(loop.nanos());
+        Machine machine = cluster.machine(report.machine());
+        if (machine != null) {
+            machine.answered(loop.nanos(), report.token() == term);
         }
         return List.of();
     }
@@ -61,17 +69,30 @@
      * orders of earlier leaders can no longer reach that worker, so what the report lacks is not there.
      */
     public List<Order> take(Report report) {
-        if (cluster.isGone(report.machine())) {
-            return greet(report);
-        }
         List<Order> orders = learn(report);
-        machine(report).answered(loop.nanos());
+        greet(report);
         return orders;
     }
 
+    /**
+     * True if answering this machine would only put off the proof that its tasks are gone: it is being given back and
+     * does not do as it is told, or it has long been answered and does not show this term's token.
+     */
+    public boolean givenUp(Report report) {
+        Machine machine = cluster.machine(report.machine());
+        if (machine == null || machine.bindings().isEmpty()) {
+            return false;
+        }
+        long patience = Times.nanos(settings.workers().leaseS() / 2);
+        boolean deaf = report.token() != term && loop.nanos() - machine.greetedAt() > patience;
+        return deaf || (machine.returning() && machine.unreachedSince() != Machine.NEVER);
+    }
+
     /** Takes a report into the picture, however it came, and says what the worker should do next. */
     public List<Order> learn(Report report) {
-        if (cluster.isGone(report.machine())) {
+        // A report with another token may be a copy of any age, of a machine that is gone: it tells nothing. The answer
+        // brings this term's token, and the next report with it. A machine that was given back stays so.
+        if (report.token() != term || cluster.isGone(report.machine())) {
             return List.of();
         }
         Machine machine = machine(report);
@@ -79,10 +100,8 @@
             return List.of();
         }
         long now = loop.nanos();
+        boolean fresh = !machine.fenced() || report.session() > machine.session();
         machine.heard(report.session(), report.sequence(), report.address(), now);
-        if (report.token() != term) {
-            return List.of();
-        }
         machine.fence();
         machine.takenAt(
                 report.noticeS().isPresent()
@@ -99,7 +118,14 @@
             }
         }
         for (Binding b : ImmutableList.copyOf(machine.bindings())) {
+            Binding.Phase before = b.phase();
             see(b, listed.get(b.task()), now);
+            if (b.phase() != before && b.phase() != Binding.Phase.ABSENT) {
+                machine.reached();
+            }
+        }
+        if (fresh) {
+            available.accept(machine);
         }
         return orders(machine, unbound, now);
     }
@@ -195,7 +221,8 @@
         return b.halt() != Binding.Halt.NO
                 || b.machine().returning()
                 || b.machine().noticed()
-                || b.machine().suspect();
+                || b.machine().suspect()
+                || b.machine().doubted();
     }
 
     private List<Order> orders(Machine machine, List<TaskReport> unbound, long now) {
@@ -215,6 +242,7 @@
             haltBeforeLoss(b, now);
             Order due = due(b);
             if (due != null) {
+                b.ordered(now);
                 orders.add(due);
             }
         }
--- a/src/main/java/org/spruceridge/lead/Takeover.java
+++ b/src/main/java/org/spruceridge/lead/Takeover.java
@@ -186,6 +186,7 @@
         if (machine == null) {
             // Any node entitled before this term can have answered it until the election.
             machine = new Machine(record.name(), "", record.kind(), loop.nanos(), tenure.since());
+            machine.expected();
             cluster.add(machine);
         }
         records.bindings().put(machine, r.page());
--- a/src/main/java/org/spruceridge/net/Budget.java
+++ b/src/main/java/org/spruceridge/net/Budget.java
@@ -7,9 +7,10 @@
 import java.util.function.IntSupplier;
 
 /**
- * Two allowances a second, requests and changes, handed out by rank. Work that finds none left waits its turn in a
+ * Allowances a second, of requests and of changes, handed out by rank. Work that finds none left waits its turn in a
  * bounded queue, so the service behind is never asked for more than its published limit. Work that only reads never
- * waits for changes.
+ * waits for changes, and users' changes have an allowance of their own: however much a leader has to write, the users
+ * that come to its node are taken like those that come to others.
  */
 public final class Budget {
     /** What the work is for; earlier ranks go first. */
@@ -24,27 +25,33 @@
     /** A user who would wait longer than this for a turn is better told at once to come back. */
     private static final double LONGEST_WAIT_S = 1;
 
+    /** Users come together: a node that has been idle takes this many changes of theirs at once. */
+    private static final int USERS_BURST = 4;
+
     private final Loop loop;
     private final Allowance requests;
     private final Allowance changes;
+    private final Allowance usersChanges;
     private final Map<Rank, Queue> queues = new EnumMap<>(Rank.class);
     private Cancellable wakeUp;
     private long taken;
 
-    public Budget(Loop loop, double requestsPerS, double changesPerS) {
+    public Budget(Loop loop, double requestsPerS, double changesPerS, double usersChangesPerS) {
         this.loop = loop;
-        this.requests = new Allowance(requestsPerS, loop.nanos());
-        this.changes = new Allowance(changesPerS, loop.nanos());
+        this.requests = new Allowance(requestsPerS, 1, loop.nanos());
+        this.changes = new Allowance(changesPerS, 1, loop.nanos());
+        this.usersChanges = new Allowance(usersChangesPerS, USERS_BURST, loop.nanos());
         for (Rank rank : Rank.values()) {
             queues.put(rank, new Queue());
         }
     }
 
     /** Changes the rates, as when this node begins or ceases to lead. */
-    public void rates(double requestsPerS, double changesPerS) {
+    public void rates(double requestsPerS, double changesPerS, double usersChangesPerS) {
         long now = loop.nanos();
         requests.rate(requestsPerS, now);
         changes.rate(changesPerS, now);
+        usersChanges.rate(usersChangesPerS, now);
     }
 
     /** Runs the work when its turn comes; false if too much is waiting already, and then it never runs. */
@@ -68,7 +75,7 @@
 
     private double waitS(Queue queue) {
         int queued = queue.changing.stream().mapToInt(Waiting::mostChanges).sum();
-        return Math.max(queue.size() / requests.perS, queued / changes.perS);
+        return Math.max(queue.size() / requests.perS, queued / usersChanges.perS);
     }
 
     private void drain() {
@@ -76,43 +83,51 @@
             wakeUp.cancel();
             wakeUp = null;
         }
-        long wait = 0;
-        while (wait == 0) {
-            long now = loop.nanos();
-            wait = requests.waitFor(1, now);
-            if (wait == 0) {
-                Deque<Waiting> next = null;
-                for (Rank rank : Rank.values()) {
-                    Queue queue = queues.get(rank);
-                    // Once changes are short for a rank, none after it may take what it waits for.
-                    if (wait == 0 && !queue.changing.isEmpty()) {
-                        wait = changes.waitFor(queue.changing.peek().mostChanges, now);
-                    }
-                    next = queue.first(wait == 0);
-                    if (next != null) {
-                        break;
-                    }
-                }
-                if (next == null) {
-                    break;
-                }
-                wait = 0;
-                run(next.remove());
-            }
+        Turn turn = nextTurn();
+        while (turn.queue != null) {
+            run(turn.queue.remove(), turn.changes);
+            turn = nextTurn();
         }
         if (wakeUp != null) {
             wakeUp.cancel(); // set by work that submitted more work
             wakeUp = null;
         }
-        if (wait > 0 && queues.values().stream().anyMatch(q -> q.size() > 0)) {
-            wakeUp = loop.after(wait, this::drain);
+        if (turn.waitNanos > 0) {
+            wakeUp = loop.after(turn.waitNanos, this::drain);
+        }
+    }
+
+    /** Where the next work is that may run now and what its changes are taken from; else how long there is to wait. */
+    private record Turn(Deque<Waiting> queue, Allowance changes, long waitNanos) {}
+
+    private Turn nextTurn() {
+        long now = loop.nanos();
+        long forRequest = requests.waitFor(1, now);
+        long wait = Long.MAX_VALUE;
+        boolean changesShort = false;
+        for (Rank rank : Rank.values()) {
+            Queue queue = queues.get(rank);
+            Allowance from = rank == Rank.SUBMISSIONS ? usersChanges : changes;
+            boolean mayChange = !queue.changing.isEmpty();
+            if (mayChange) {
+                long forChanges = from.waitFor(queue.changing.peek().mostChanges, now);
+                wait = forChanges > 0 ? Math.min(wait, forChanges) : wait;
+                // Once changes are short for a rank, none after it may take what it waits for.
+                mayChange = forChanges == 0 && !(changesShort && from == changes);
+                changesShort |= forChanges > 0 && from == changes;
+            }
+            Deque<Waiting> next = queue.first(mayChange);
+            if (next != null) {
+                return forRequest > 0 ? new Turn(null, null, forRequest) : new Turn(next, from, 0);
+            }
         }
+        return new Turn(null, null, wait == Long.MAX_VALUE ? 0 : wait);
     }
 
-    private void run(Waiting work) {
+    private void run(Waiting work, Allowance from) {
         requests.take(1);
-        changes.take(work.mostChanges);
-        changes.take(work.work.getAsInt() - work.mostChanges);
+        from.take(work.mostChanges);
+        from.take(work.work.getAsInt() - work.mostChanges);
     }
 
     private record Waiting(long number, int mostChanges, IntSupplier work) {}
@@ -136,28 +151,34 @@
         }
     }
 
-    /** A bucket that fills at a rate and holds one second's worth. */
+    /** A bucket that fills at a rate and holds one second's worth, or a least amount if that is more. */
     private static final class Allowance {
+        private final double least;
         private double perS;
         private double held;
         private long at;
 
-        Allowance(double perS, long now) {
+        Allowance(double perS, double least, long now) {
+            this.least = least;
             this.perS = perS;
-            this.held = perS;
+            this.held = most();
             this.at = now;
         }
 
+        private double most() {
+            return Math.max(least, perS);
+        }
+
         void rate(double newPerS, long now) {
             fill(now);
             perS = newPerS;
-            held = Math.min(held, newPerS);
+            held = Math.min(held, most());
         }
 
         /** More than a full bucket is lent once the bucket is full. */
         long waitFor(int count, long now) {
             fill(now);
-            double missing = Math.min(count, Math.max(1, perS)) - held;
+            double missing = Math.min(count, most()) - held;
             return missing <= 1e-9 ? 0 : Math.max(1, (long) (missing / perS * 1e9));
         }
 
@@ -166,7 +187,7 @@
         }
 
         private void fill(long now) {
-            held = Math.min(Math.max(1, perS), held + perS * (now - at) / 1e9);
+            held = Math.min(most(), held + perS * (now - at) / 1e9);
             at = now;
         }
     }
--- a/src/main/java/org/spruceridge/node/Node.java
+++ b/src/main/java/org/spruceridge/node/Node.java
@@ -1,6 +1,7 @@
 package org.spruceridge.node;
 
 import com.google.common.collect.ImmutableMap;
+import java.util.Optional;
 import java.util.random.RandomGenerator;
 import org.spruceridge.api.JobsEndpoint;
 import org.spruceridge.api.Router;
@@ -33,14 +34,17 @@
 
 /** One controller node: its duties, and what it does while it leads. Clocks, randomness and network come in. */
 public final class Node implements Election.Listener {
-    /** The share of the state service's changes that all followers have together. */
-    private static final double FOLLOWERS_SHARE = 0.4;
+    /** The share of the state service's changes that is kept for what users ask of all nodes together. */
+    private static final double USERS_SHARE = 0.35;
     /** What is left unused of the limits, for the services' clocks and ours differ. */
     private static final double HEADROOM = 0.95;
 
     /** After this many report periods without a report, a node counts as not reached by workers. */
     private static final double REACHED_OF_REPORT = 2.5;
 
+    /** After it has given the lead up for that, it does not do so again for this many leases. */
+    private static final double STAY_OF_LEASE = 10;
+
     private static final long PULSE = Times.nanos(1);
     private static final long CUT_OFF = Times.nanos(3);
 
@@ -61,6 +65,7 @@
     private final Catalogue catalogue;
     private Leader leader;
     private long lastReport;
+    private long staysUntil = Long.MIN_VALUE;
 
     public Node(Loop loop, HttpClient http, PeerLink link, RandomGenerator random, Settings settings, Policy policy) {
         this.loop = loop;
@@ -70,8 +75,8 @@
         this.oddities = new Oddities(loop);
         this.lastReport = loop.nanos();
         this.latencies = new Latencies(loop);
-        this.stateBudget = new Budget(loop, 1, 1);
-        this.cloudBudget = new Budget(loop, 1, 1);
+        this.stateBudget = new Budget(loop, 1, 1, 1);
+        this.cloudBudget = new Budget(loop, 1, 1, 1);
         shareLimits(false);
         this.state = new StateClient(loop, http, settings.stateAddress(), stateBudget, oddities, latencies);
         this.cloud = new CloudClient(http, settings.cloudAddress(), cloudBudget, oddities);
@@ -149,30 +154,44 @@
 
     private void shareLimits(boolean leading) {
         int nodes = settings.nodeCount();
-        double share = nodes == 1 ? 1 : leading ? 1 - FOLLOWERS_SHARE : FOLLOWERS_SHARE / (nodes - 1);
-        double writeShare = HEADROOM * share;
-        double readShare = HEADROOM / nodes;
-        stateBudget.rates(settings.state().rps() * readShare, settings.state().writeRps() * writeShare);
+        double reads = settings.state().rps() * HEADROOM / nodes;
+        double writes = settings.state().writeRps() * HEADROOM;
+        double usersShare = USERS_SHARE / nodes;
+        // A follower has next to nothing of its own to write: an election, the catalogue.
+        double ownShare = leading ? 1 - USERS_SHARE : usersShare;
+        stateBudget.rates(reads, writes * ownShare, writes * usersShare);
         double cloudShare = nodes == 1 ? 1 : leading ? 0.8 : 0.2 / (nodes - 1);
-        cloudBudget.rates(settings.cloud().rps() * HEADROOM * cloudShare, 1);
+        cloudBudget.rates(settings.cloud().rps() * HEADROOM * cloudShare, 1, 1);
     }
 
     private Response report(Report report) {
         lastReport = loop.nanos();
         if (!election.leads() || leader == null) {
-            String known = election.leaderName().orElse(null);
-            boolean other = known != null && !known.equals(settings.hostName());
-            return other ? Order.elsewhere(known) : Response.error(503, "no leader known");
+            return steward()
+                    .filter(name -> !name.equals(settings.hostName()))
+                    .map(Order::elsewhere)
+                    .orElseGet(() -> Response.error(503, "no leader known"));
         }
         if (report.token() > leader.term()) {
             return Response.error(503, "a newer leader was seen");
         }
-        return Order.answer(leader.term(), leader.report(report));
+        return leader.report(report)
+                .map(orders -> Order.answer(leader.term(), orders))
+                .orElseGet(() -> Response.error(503, "given up"));
+    }
+
+    /** The leader, if there is fresh word of it: a node cut off from the others must not hold or misguide workers. */
+    private Optional<String> steward() {
+        return stateServes() ? election.leaderName() : peers.leader();
     }
 
-    /** Users are better served elsewhere if this node alone cannot reach the state service. */
+    /**
+     * Users are better served elsewhere if the state service is out of reach of this node and not of another, or if no
+     * other is heard either. In an outage that all share, every node stays.
+     */
     private boolean healthy() {
-        return stateServes() || !peers.anyServed();
+        boolean alone = settings.nodeCount() > 1 && !peers.anyHeard();
+        return stateServes() || !(alone || peers.anyServed());
     }
 
     private boolean stateServes() {
@@ -212,10 +231,14 @@
 
     /**
      * A leader that workers do not reach while they reach other nodes gives the lead up: else all leases run out, for
-     * the others keep sending the workers to it.
+     * the others keep sending the workers to it. It does so once in a while only: a lone worker to which no answer gets
+     * through wanders from node to node, and would take the lead from each of them in turn for ever.
      */
     private void yieldIfCutOff() {
-        if (leader != null && leader.ledFor() > quietNanos() && !workersReach() && peers.anyReached()) {
+        long now = loop.nanos();
+        boolean cutOff = leader != null && leader.ledFor() > quietNanos() && !workersReach() && peers.anyReached();
+        if (cutOff && now >= staysUntil) {
+            staysUntil = now + Times.nanos(STAY_OF_LEASE * settings.workers().leaseS());
             election.resign("workers reach other nodes, and not this one");
         }
     }
--- a/src/main/java/org/spruceridge/peer/Peers.java
+++ b/src/main/java/org/spruceridge/peer/Peers.java
@@ -1,8 +1,10 @@
 package org.spruceridge.peer;
 
 import com.google.common.collect.ImmutableMap;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.spruceridge.net.BadMessageException;
@@ -49,6 +51,21 @@
         return anyFresh(Beacon::stateServes);
     }
 
+    /** True if another node was heard lately. */
+    public boolean anyHeard() {
+        return anyFresh(beacon -> true);
+    }
+
+    /** The node that lately said that it leads, by the highest term. */
+    public Optional<String> leader() {
+        long now = loop.nanos();
+        return heard.values().stream()
+                .filter(h -> now - h.at < FRESH && h.beacon.term() > 0)
+                .map(Heard::beacon)
+                .max(Comparator.comparingLong(Beacon::term))
+                .map(Beacon::hostName);
+    }
+
     /** True if workers lately reached another node. */
     public boolean anyReached() {
         return anyFresh(Beacon::workersReach);
--- a/src/test/java/org/spruceridge/sim/SimCloud.java
+++ b/src/test/java/org/spruceridge/sim/SimCloud.java
@@ -21,6 +21,7 @@
     private final Map<String, List<String>> claims = new HashMap<>();
     private final TreeMap<String, Host> hosts = new TreeMap<>();
     private int count;
+    private int deletions;
     private int capacity = Integer.MAX_VALUE;
 
     private record Host(String zone, boolean spot, long rentedAt, SimWorker[] worker, String[] stage) {}
@@ -34,6 +35,11 @@
         capacity = machines;
     }
 
+    /** Requests to give machines back. */
+    public int deletions() {
+        return deletions;
+    }
+
     /** Machines rented and not given back. */
     public int rented() {
         return hosts.size();
@@ -60,6 +66,7 @@
             if (path.equals("/flavors")) {
                 answer.accept(ok(catalogue()));
             } else if (path.equals("/hosts/delete")) {
+                deletions++;
                 Json.list(Json.object(call.body()), "hosts").forEach(n -> remove(n.asText()));
                 answer.accept(ok(Json.object()));
             } else if (call.method().equals("POST")) {
--- a/src/test/java/org/spruceridge/sim/SimNet.java
+++ b/src/test/java/org/spruceridge/sim/SimNet.java
@@ -24,7 +24,9 @@
         /** It is carried out, and its answer never arrives. */
         ANSWER_LOST,
         /** Its sender gives up; it arrives when held messages are let go. */
-        HELD
+        HELD,
+        /** It arrives, and a copy of it when held messages are let go. */
+        COPIED
     }
 
     /** Decides over requests. */
@@ -64,6 +66,13 @@
         late.forEach(Runnable::run);
     }
 
+    /** Delivers the message that has been held longest, if there is one. */
+    public void letOneGo() {
+        if (!held.isEmpty()) {
+            held.remove(0).run();
+        }
+    }
+
     void serve(Address at, Server server) {
         servers.put(at, server);
     }
@@ -84,7 +93,7 @@
             });
             Fate fate = weather.fate(from, to, call);
             Consumer<HttpAnswer> back = answer -> process.after(LATENCY, () -> {
-                if (!over[0] && fate == Fate.DELIVERED) {
+                if (!over[0] && (fate == Fate.DELIVERED || fate == Fate.COPIED)) {
                     over[0] = true;
                     done.accept(answer);
                 }
@@ -98,6 +107,10 @@
             switch (fate) {
                 case DELIVERED, ANSWER_LOST -> loop.after(LATENCY, arrive);
                 case HELD -> held.add(arrive);
+                case COPIED -> {
+                    loop.after(LATENCY, arrive);
+                    held.add(arrive);
+                }
                 case LOST -> {}
             }
             return () -> over[0] = true;
--- a/src/test/java/org/spruceridge/sim/SimWorker.java
+++ b/src/test/java/org/spruceridge/sim/SimWorker.java
@@ -87,6 +87,15 @@
         frozen = value;
     }
 
+    /** The machine is off and on again at once: its tasks are gone, and so is all that its worker knew. */
+    public void restart() {
+        tasks.values().forEach(t -> world.ended(t.part, name));
+        tasks.clear();
+        session++;
+        token = 0;
+        leaseFrom = world.loop.nanos();
+    }
+
     /** Tasks that are on the machine now. */
     public List<String> running() {
         return tasks.values().stream()
--- a/src/test/java/org/spruceridge/sim/World.java
+++ b/src/test/java/org/spruceridge/sim/World.java
@@ -49,6 +49,7 @@
     private final Map<String, Long> cancelled = new HashMap<>();
     private final Set<String> completed = new HashSet<>();
     private final List<String> starts = new ArrayList<>();
+    private final Set<String> cutPeers = new HashSet<>();
     private int lives;
 
     private record Running(Node node, SimLoop.Process process, Link link) {}
@@ -108,6 +109,11 @@
         net.remove(address(name));
     }
 
+    /** Cuts a node off from the other nodes, in both directions. */
+    public void cutPeers(String name) {
+        cutPeers.add(name);
+    }
+
     /** The name of the node that leads, or null. */
     public String leader() {
         for (var e : nodes.entrySet()) {
@@ -297,7 +303,7 @@
         @Override
         public void broadcast(byte[] frame) {
             nodes.forEach((name, running) -> {
-                if (!name.equals(from)) {
+                if (!name.equals(from) && !cutPeers.contains(from) && !cutPeers.contains(name)) {
                     running.process.after(1_000_000, () -> running.link.taker.accept(frame));
                 }
             });
--- a/src/test/java/org/spruceridge/story/FailureStoriesTest.java
+++ b/src/test/java/org/spruceridge/story/FailureStoriesTest.java
@@ -375,4 +375,222 @@
         assertNotNull(world.starts().get(1));
         assertFalse(world.starts().get(1).endsWith(worker.name()));
     }
+
+    /** From now on the worker's reports arrive, and nothing that is said to it does. */
+    private void deafen(SimWorker worker) {
+        world.net.weather((from, to, call) -> {
+            if (from.equals(worker.name())) {
+                return Fate.ANSWER_LOST;
+            }
+            return to.host().equals("10.1.0." + worker.name()) ? Fate.LOST : Fate.DELIVERED;
+        });
+    }
+
+    @Test
+    void aMachineThatHearsNothingLosesItsTasksAndIsReplaced() {
+        until(() -> world.leader() != null, 10);
+        world.submit(World.job(1, 4).put("expectS", 60.0));
+        until(() -> world.running().size() == 4, 40);
+        SimWorker deaf = world.cloud.workers().get(0);
+        deafen(deaf);
+        // Its lease runs out although each of its reports is taken; being heard must not count as being reached.
+        until(() -> !world.cloud.workers().contains(deaf), 4 * World.LEASE_S);
+        until(() -> world.poll("j-000001").equals("done"), 100);
+        assertTrue(world.starts().stream().skip(4).noneMatch(s -> s.endsWith(deaf.name())));
+    }
+
+    @Test
+    void anIdleMachineThatHearsNothingKeepsNoTaskWaiting() {
+        until(() -> world.leader() != null, 10);
+        world.submit(World.job(1, 1));
+        until(() -> world.poll("j-000001").equals("done"), 40);
+        SimWorker deaf = world.cloud.workers().get(0);
+        deafen(deaf);
+        world.submit(World.job(2, 1));
+        until(() -> world.poll("j-000002").equals("done"), 4 * World.LEASE_S);
+        assertFalse(world.cloud.workers().contains(deaf));
+    }
+
+    @Test
+    void aMachineThatHearsNothingInATakeoverIsReplaced() {
+        until(() -> world.leader() != null, 10);
+        world.submit(World.job(1, 1).put("expectS", 20.0));
+        until(() -> world.running().size() == 1, 40);
+        SimWorker deaf = world.cloud.workers().get(0);
+        deafen(deaf);
+        world.crash(world.leader());
+        until(() -> world.poll("j-000001").equals("done"), 150);
+        assertFalse(world.cloud.workers().contains(deaf));
+    }
+
+    @Test
+    void aMachineThatHearsNothingWhileTheCloudIsOutGivesItsTasksBackByItsLease() {
+        until(() -> world.leader() != null, 10);
+        world.submit(World.job(1, 1).put("expectS", 5.0));
+        world.submit(World.job(2, 3).put("expectS", 30.0));
+        until(() -> world.running().size() == 4, 40);
+        SimWorker deaf = world.cloud.workers().get(0);
+        world.net.weather((from, to, call) -> {
+            if (from.equals(deaf.name())) {
+                return Fate.ANSWER_LOST;
+            }
+            boolean lost =
+                    to.host().equals("10.1.0." + deaf.name()) || to.host().equals("10.2.0.2");
+            return lost ? Fate.LOST : Fate.DELIVERED;
+        });
+        until(() -> world.completed().size() == 4, 150);
+    }
+
+    @Test
+    void copiesOfADeadMachinesReportsDoNotKeepItAliveForTheNextLeader() {
+        until(() -> world.leader() != null, 10);
+        world.submit(World.job(1, 1).put("expectS", 20.0));
+        until(() -> world.running().size() == 1, 40);
+        SimWorker worker = world.cloud.workers().get(0);
+        world.net.weather((from, to, call) -> from.equals(worker.name()) ? Fate.COPIED : Fate.DELIVERED);
+        world.loop.run(12);
+        String old = world.leader();
+        world.cloud.die(worker);
+        world.crash(old);
+        world.net.clear();
+        // The copies were on their way to the old leader, which is back by now and leads again or not.
+        world.boot(old);
+        until(() -> world.leader() != null, 30);
+        double leaseFrom = world.loop.nanos() / 1e9;
+        while (world.net.held() > 0) {
+            world.net.letOneGo();
+            world.loop.run(2);
+        }
+        until(() -> world.poll("j-000001").equals("done"), 60);
+        assertEquals(2, world.starts().size());
+        assertTrue(world.loop.nanos() / 1e9 - leaseFrom < 3 * World.LEASE_S + 20);
+    }
+
+    @Test
+    void copiesOfAReturnedMachinesReportsBringNothingBack() {
+        until(() -> world.leader() != null, 10);
+        world.submit(World.job(1, 1));
+        until(() -> !world.cloud.workers().isEmpty(), 30);
+        SimWorker worker = world.cloud.workers().get(0);
+        world.net.weather((from, to, call) -> from.equals(worker.name()) ? Fate.COPIED : Fate.DELIVERED);
+        until(() -> world.poll("j-000001").equals("done"), 40);
+        until(() -> world.cloud.rented() == 0, 120);
+        world.net.clear();
+        String old = world.leader();
+        world.crash(old);
+        world.boot(old);
+        until(() -> world.leader() != null, 30);
+        int deletions = world.cloud.deletions();
+        world.net.letGo();
+        world.loop.run(2 * World.LEASE_S);
+        assertEquals(deletions, world.cloud.deletions(), "nobody took the machine for one that is there");
+        world.submit(World.job(2, 1));
+        until(() -> world.poll("j-000002").equals("done"), 30);
+    }
+
+    @Test
+    void aNodeWithoutStateServiceAndPeersHoldsNoWorker() {
+        until(() -> world.leader() != null, 10);
+        world.submit(World.job(1, 2).put("expectS", 60.0));
+        until(() -> world.running().size() == 2, 40);
+        String old = world.leader();
+        String cut = world.follower();
+        world.cutPeers(cut);
+        world.net.weather(
+                (from, to, call) -> from.equals(cut) && to.host().startsWith("10.2.0.1") ? Fate.LOST : Fate.DELIVERED);
+        world.loop.run(6);
+        world.crash(old);
+        until(() -> world.leader() != null, 30);
+        assertNotEquals(cut, world.leader());
+        world.loop.run(4); // a watch from before the cut was still answered
+        Response answer = world.ask(cut, "POST", "/hello", report("i-000099", 7));
+        assertEquals(503, answer.status(), "it must not send workers to a leader of which it has no fresh word");
+        assertEquals(503, world.ask(cut, "GET", "/healthz", (JsonNode) null).status());
+        until(() -> world.poll("j-000001").equals("done"), 90);
+        assertEquals(2, world.starts().size(), "no lease ran out");
+    }
+
+    @Test
+    void aLeaderThatLosesStateServiceAndPeersLetsItsWorkersGo() {
+        until(() -> world.leader() != null, 10);
+        world.submit(World.job(1, 2).put("expectS", 60.0));
+        until(() -> world.running().size() == 2, 40);
+        String cut = world.leader();
+        world.cutPeers(cut);
+        world.net.weather(
+                (from, to, call) -> from.equals(cut) && to.host().startsWith("10.2.0.1") ? Fate.LOST : Fate.DELIVERED);
+        until(() -> world.leader() != null && !world.leader().equals(cut), 30);
+        until(() -> world.poll("j-000001").equals("done"), 90);
+        assertEquals(2, world.starts().size(), "no lease ran out");
+    }
+
+    @Test
+    void aProcessThatIsBackAtOnceMeetsItsOwnLateElection() {
+        World late = new World(1);
+        late.net.weather((from, to, call) -> call.target().equals("/txn") ? Fate.HELD : Fate.DELIVERED);
+        while (late.net.held() == 0) {
+            late.loop.run(0.01);
+        }
+        late.crash("n0");
+        late.loop.run(0.05);
+        late.boot("n0");
+        late.loop.run(0.3);
+        late.net.clear();
+        late.net.letGo();
+        late.loop.run(5);
+        assertEquals("n0", late.leader());
+        late.submit(World.job(1, 1));
+        late.loop.run(40);
+        assertEquals("done", late.poll("j-000001"));
+        assertEquals(1, late.starts().size());
+    }
+
+    @Test
+    void aMachineThatIsBackAtOnceRunsItsTasksAgain() {
+        until(() -> world.leader() != null, 10);
+        world.submit(World.job(1, 2).put("expectS", 20.0));
+        until(() -> world.running().size() == 2, 40);
+        world.cloud.workers().get(0).restart();
+        until(() -> world.poll("j-000001").equals("done"), 60);
+        assertEquals(4, world.starts().size());
+    }
+
+    @Test
+    void everyJobIsAnsweredForAndRunsOnceTroublesAreOver() {
+        until(() -> world.leader() != null, 10);
+        for (int i = 1; i <= 4; i++) {
+            world.submit(World.job(i, 2).put("expectS", 10.0));
+        }
+        until(() -> world.running().size() == 4, 40);
+        // An outage, in the midst of which all nodes die; then each node in turn loses the state service.
+        world.state.outage(20);
+        world.loop.run(5);
+        for (String node : new String[] {"n0", "n1", "n2"}) {
+            world.crash(node);
+        }
+        world.loop.run(3);
+        for (String node : new String[] {"n0", "n1", "n2"}) {
+            world.boot(node);
+        }
+        world.loop.run(15);
+        for (String node : new String[] {"n0", "n1", "n2"}) {
+            world.net.weather((from, to, call) ->
+                    from.equals(node) && to.host().startsWith("10.2.0.1") ? Fate.LOST : Fate.DELIVERED);
+            world.loop.run(10);
+        }
+        world.net.clear();
+        world.loop.run(5);
+        for (String node : new String[] {"n0", "n1", "n2"}) {
+            assertEquals(
+                    200, world.ask(node, "GET", "/healthz", (JsonNode) null).status());
+            for (int i = 1; i <= 4; i++) {
+                String id = String.format("j-%06d", i);
+                assertEquals(
+                        200,
+                        world.ask(node, "GET", "/api/jobs/" + id, (JsonNode) null)
+                                .status());
+            }
+        }
+        until(() -> world.completed().size() == 8, 120);
+    }
 }
