Room is used again as soon as its task is proven gone, not once that is on record

What is proven gone takes no room. The job, its team's limit and its zones still count it until the release is on record, so no rule rests on anything new.

--- a/src/main/java/org/spruceridge/cluster/Binding.java
+++ b/src/main/java/org/spruceridge/cluster/Binding.java
@@ -35,6 +35,7 @@
     private Phase phase = Phase.ABSENT;
     private boolean pushed;
     private boolean stopPushed;
+    private boolean gone;
     private long orderedAt = Machine.NEVER;
     private long runningSince;
     private final long boundAt;
@@ -81,6 +82,15 @@
         stage = next;
     }
 
+    /** There is proof that the task is not on its machine, though the record may still say so. */
+    public boolean gone() {
+        return gone;
+    }
+
+    void goneNow() {
+        gone = true;
+    }
+
     public Halt halt() {
         return job.cancelled() ? Halt.AT_ONCE : halt;
     }
--- a/src/main/java/org/spruceridge/cluster/Cluster.java
+++ b/src/main/java/org/spruceridge/cluster/Cluster.java
@@ -92,6 +92,16 @@
         teamUse.merge(binding.job().spec().team(), binding.job().spec().task(), Room::plus);
     }
 
+    /**
+     * There is proof that the task is not on its machine. Its room is free; its job and its team count it until that is
+     * on record.
+     */
+    public void vacate(Binding binding) {
+        if (binding.machine().binding(binding.task()) == binding) {
+            binding.machine().vacate(binding);
+        }
+    }
+
     public void unbind(Binding binding, long now) {
         if (binding.machine().binding(binding.task()) != binding) {
             return;
--- a/src/main/java/org/spruceridge/cluster/Machine.java
+++ b/src/main/java/org/spruceridge/cluster/Machine.java
@@ -86,16 +86,23 @@
     }
 
     void unbind(Binding binding, long now) {
+        vacate(binding);
         bindings.remove(binding.task(), binding);
         if (bindings.isEmpty()) {
             idleSince = now;
             used = Room.NONE; // no rounding stays behind
-        } else {
+        }
+    }
+
+    /** The task is gone, and its room may be used at once; its record is still to be written. */
+    void vacate(Binding binding) {
+        if (!binding.gone()) {
+            binding.goneNow();
             used = used.minus(binding.job().spec().task());
         }
     }
 
-    /** What all bindings of the machine take together. */
+    /** What all tasks take together that may be on the machine. */
     public Room used() {
         return used;
     }
--- a/src/main/java/org/spruceridge/fleet/Fleet.java
+++ b/src/main/java/org/spruceridge/fleet/Fleet.java
@@ -280,7 +280,7 @@
         for (Binding b : m.bindings()) {
             double remainingS = b.job().spec().estimateS() - b.elapsedS(now);
             boolean runs = b.phase() == Binding.Phase.RUNNING;
-            if (b.phase() == Binding.Phase.ENDED || (runs && remainingS < bootS)) {
+            if (runs && remainingS < bootS && !b.gone()) {
                 freed = freed.plus(b.job().spec().task());
             }
         }
--- a/src/main/java/org/spruceridge/lead/Ledger.java
+++ b/src/main/java/org/spruceridge/lead/Ledger.java
@@ -102,6 +102,7 @@
             return;
         }
         binding.stage(Binding.Stage.RELEASING);
+        cluster.vacate(binding);
         releases.merge(binding, done, Boolean::logicalOr);
         pump();
     }
--- a/src/main/java/org/spruceridge/lead/ReportDesk.java
+++ b/src/main/java/org/spruceridge/lead/ReportDesk.java
@@ -37,7 +37,7 @@
     private final Oddities oddities;
     private final Consumer<Machine> available;
 
-    /** {@code available} is told of machines that begin to report, in this term or after their lease ran out. */
+    /** {@code available} is told of machines that have room anew: that begin to report, or that a task has left. */
     public ReportDesk(
             Loop loop,
             Cluster cluster,
@@ -195,6 +195,7 @@
             b.stage(Binding.Stage.RELEASING);
         }
         ledger.release(b, cause == Cause.DONE);
+        available.accept(machine);
     }
 
     /** Errors of several jobs on one machine speak against the machine, those of one job everywhere against the job. */
--- a/src/main/java/org/spruceridge/schedule/Matching.java
+++ b/src/main/java/org/spruceridge/schedule/Matching.java
@@ -307,7 +307,7 @@
                 Room room = s.free();
                 for (Binding b : s.machine().bindings()) {
                     boolean leaving = b.halt() != Binding.Halt.NO || b.phase() == Binding.Phase.ENDED;
-                    room = leaving ? room.plus(b.job().spec().task()) : room;
+                    room = leaving && !b.gone() ? room.plus(b.job().spec().task()) : room;
                 }
                 return room;
             }
--- a/src/main/java/org/spruceridge/schedule/Slot.java
+++ b/src/main/java/org/spruceridge/schedule/Slot.java
@@ -81,8 +81,10 @@
         if (leaving == null) {
             leaving = new ArrayList<>();
             for (Binding b : machine.bindings()) {
-                leaving.add(
-                        new Leaving(remainingS.applyAsDouble(b), b.job().spec().task()));
+                if (!b.gone()) {
+                    leaving.add(new Leaving(
+                            remainingS.applyAsDouble(b), b.job().spec().task()));
+                }
             }
             leaving.sort(Comparator.comparingDouble(Leaving::inS));
         }
--- a/src/test/java/org/spruceridge/schedule/MatchingTest.java
+++ b/src/test/java/org/spruceridge/schedule/MatchingTest.java
@@ -161,6 +161,24 @@
         assertTrue(plan.unplaced().isEmpty(), "what the limit keeps back needs no machine");
     }
 
+    @Test
+    void roomThatATaskHasLeftIsUsedBeforeThatIsOnRecord() {
+        Machine m = machine("m", "a", false);
+        JobMaker first = job();
+        first.cpus = 8;
+        Binding gone = running(first.add(), 0, m);
+        JobMaker next = job();
+        next.cpus = 8;
+        next.add();
+        assertEquals(List.of(), machines(plan()));
+        gone.stage(Binding.Stage.RELEASING);
+        cluster.vacate(gone);
+        cluster.vacate(gone); // proof may come twice; room is given once
+        assertEquals(List.of("m"), machines(plan()));
+        cluster.unbind(gone, NOW);
+        assertEquals(new Room(8, 0, 32), cluster.free(m));
+    }
+
     @Test
     void aJobStaysInItsZoneTypeAndKind() {
         machine("spot", "a", true);
