--- a/src/main/java/org/spruceridge/cluster/Job.java
+++ b/src/main/java/org/spruceridge/cluster/Job.java
@@ -104,6 +104,11 @@
         return next < spec.tasks() ? next : -1;
     }
 
+    /** True once a task of it has been bound that was not given up since, or has completed. */
+    public boolean begun() {
+        return !bindings.isEmpty() || !done.isEmpty();
+    }
+
     /** Tasks that a report showed running. */
     public int running() {
         int n = 0;
--- a/src/main/java/org/spruceridge/config/Policy.java
+++ b/src/main/java/org/spruceridge/config/Policy.java
@@ -16,10 +16,18 @@
 
     /** The document's weights, and those of our own terms. */
     public record Weights(
-            double deadline, double overhead, double waiting, double aging, double thrift, double packing) {}
+            double deadline,
+            double overhead,
+            double waiting,
+            double aging,
+            double patience,
+            double thrift,
+            double packing) {}
 
-    /** How far apart rounds are, against the workers' report period, and the least remaining time that the scores assume. */
-    public record Rounds(double spacingOfReport, double remainingFloorS, double heldShare) {}
+    /** How far apart rounds are, against the workers' report period, the least remaining time that the scores assume, and
+     * when each job should have begun.
+     */
+    public record Rounds(double spacingOfReport, double remainingFloorS, double heldShare, double beginWithinS) {}
 
     /** How often a running task of one machine may be stopped for a waiting one. */
     public record Stops(double perMachineS) {}
@@ -33,8 +41,8 @@
     /** The values that the program starts with. */
     public static Policy defaults() {
         return new Policy(
-                new Weights(15, 40, 8, 5, 2, 3),
-                new Rounds(0.1, 10, 0.25),
+                new Weights(15, 40, 8, 5, 40, 2, 3),
+                new Rounds(0.1, 10, 0.25, 240),
                 new Stops(60),
                 new Leading(0.5, 8),
                 new FleetRatios(0.25, 4, 0.5));
@@ -64,23 +72,25 @@
         Weights weights = d.weights;
         if (top.has("weights")) {
             Fields f = top.object("weights");
-            f.onlyThese(ImmutableSet.of("deadline", "overhead", "wait", "aging", "thrift", "packing"));
+            f.onlyThese(ImmutableSet.of("deadline", "overhead", "wait", "aging", "patience", "thrift", "packing"));
             weights = new Weights(
                     f.atLeastZeroOr("deadline", weights.deadline),
                     f.atLeastZeroOr("overhead", weights.overhead),
                     f.atLeastZeroOr("wait", weights.waiting),
                     f.atLeastZeroOr("aging", weights.aging),
+                    f.atLeastZeroOr("patience", weights.patience),
                     f.atLeastZeroOr("thrift", weights.thrift),
                     f.atLeastZeroOr("packing", weights.packing));
         }
         Rounds rounds = d.rounds;
         if (top.has("rounds")) {
             Fields f = top.object("rounds");
-            f.onlyThese(ImmutableSet.of("spacing_of_report", "remaining_floor_s", "held_share"));
+            f.onlyThese(ImmutableSet.of("spacing_of_report", "remaining_floor_s", "held_share", "begin_within_s"));
             rounds = new Rounds(
                     f.positiveOr("spacing_of_report", rounds.spacingOfReport),
                     f.positiveOr("remaining_floor_s", rounds.remainingFloorS),
-                    f.atLeastZeroOr("held_share", rounds.heldShare));
+                    f.atLeastZeroOr("held_share", rounds.heldShare),
+                    f.positiveOr("begin_within_s", rounds.beginWithinS));
         }
         Stops stops = d.stops;
         if (top.has("stops")) {
--- a/src/main/java/org/spruceridge/schedule/Matching.java
+++ b/src/main/java/org/spruceridge/schedule/Matching.java
@@ -38,7 +38,8 @@
         this.policy = policy;
         this.mostBindings = mostBindings;
         this.estimates = new Estimates(policy.rounds().remainingFloorS());
-        this.matrix = new PriorityMatrix(policy.weights(), estimates);
+        this.matrix =
+                new PriorityMatrix(policy.weights(), estimates, policy.rounds().beginWithinS());
     }
 
     /** Plans one round. */
--- a/src/main/java/org/spruceridge/schedule/PriorityMatrix.java
+++ b/src/main/java/org/spruceridge/schedule/PriorityMatrix.java
@@ -19,13 +19,14 @@
     /** One entry of the matrix. */
     public record Entry(Candidate candidate, Column column, double score, double urgency) {}
 
-    public PriorityMatrix(Weights weights, Estimates estimates) {
+    public PriorityMatrix(Weights weights, Estimates estimates, double beginWithinS) {
         this.estimates = estimates;
         this.terms = ImmutableList.of(
                 new Term(new Deadline(), weights.deadline()),
                 new Term(new Overhead(), weights.overhead()),
                 new Term(new Wait(), weights.waiting()),
                 new Term(new Aging(), weights.aging()),
+                new Term(new Patience(beginWithinS), weights.patience()),
                 new Term(new Thrift(), weights.thrift()),
                 new Term(new Packing(), weights.packing()));
     }
--- a/src/test/java/org/spruceridge/schedule/HeuristicsTest.java
+++ b/src/test/java/org/spruceridge/schedule/HeuristicsTest.java
@@ -85,6 +85,19 @@
         assertEquals(expected, new Aging().value(new Heuristic.Row(c, 0, 100), COLUMN, remainingS), 1e-9);
     }
 
+    // Every job should have begun within 240 s: 0 until half of that, 1 from three quarters on; begun, from 360 to 720
+    // s.
+    @ParameterizedTest
+    @CsvSource({"false, 120, 0", "false, 150, 0.5", "false, 200, 1", "true, 360, 0", "true, 540, 0.5", "true, 900, 1"})
+    void patience(boolean begun, double ageS, double expected) {
+        Job job = job(1, 50, OptionalDouble.empty());
+        if (begun) {
+            job.markDone(0);
+        }
+        Candidate c = new Candidate(job, 0, ageS, 0);
+        assertEquals(expected, new Patience(240).value(new Heuristic.Row(c, 0, 100), COLUMN, 40), 1e-9);
+    }
+
     @Test
     void remainingTimeIsFlooredAtTenSeconds() {
         Estimates estimates = new Estimates(10);
@@ -101,7 +114,7 @@
         Candidate pressing = new Candidate(job(1, 40, OptionalDouble.of(100)), 0, 40, 60);
         Candidate longer = new Candidate(job(2, 80, OptionalDouble.empty()), 0, 20, Double.POSITIVE_INFINITY);
         List<PriorityMatrix.Entry> entries = new PriorityMatrix(
-                        Policy.defaults().weights(), new Estimates(10))
+                        Policy.defaults().weights(), new Estimates(10), 240)
                 .entries(ImmutableList.of(pressing, longer), ImmutableList.of(COLUMN), (c, m) -> true);
         // 15 * (1 - 0.5) * 0.5 + 40 * 0 + 8 * (1 - 40 / 80) + 5 * 40 / (40 + 40) = 3.75 + 4 + 2.5
         // and, of ours, 2 * (1 - 1) for the one price there is + 3 * 0.5 for a machine half full.
--- a/src/test/java/org/spruceridge/story/FailureStoriesTest.java
+++ b/src/test/java/org/spruceridge/story/FailureStoriesTest.java
@@ -593,4 +593,27 @@
         }
         until(() -> world.completed().size() == 8, 120);
     }
+
+    @Test
+    void theLargestJobBeginsUnderAStreamOfSmallUrgentOnes() {
+        until(() -> world.leader() != null, 10);
+        // Two machines' worth of room, and small jobs of a higher rank that ask for more than that all the time.
+        int number = 100;
+        for (int i = 0; i < 12; i++) {
+            submitUrgent(++number);
+        }
+        until(() -> world.running().size() == 4, 40);
+        world.submit(World.job(1, 30).put("rank", "best_effort").put("expectS", 60.0));
+        long submitted = world.loop.nanos();
+        while (world.starts().stream().noneMatch(s -> s.startsWith("j-000001"))) {
+            submitUrgent(++number);
+            world.loop.run(1.5);
+            assertTrue(world.loop.nanos() - submitted < 240e9, "the largest too must begin within four minutes");
+        }
+    }
+
+    private void submitUrgent(int number) {
+        world.submit(
+                World.job(number, 1).put("rank", "high").put("expectS", 8.0).put("dueS", 40.0));
+    }
 }
