--- a/src/main/java/org/spruceridge/config/Settings.java
+++ b/src/main/java/org/spruceridge/config/Settings.java
@@ -42,7 +42,15 @@
     public record Workers(double reportS, double leaseS, double cancelS) {}
 
     /** The limits of the state service. */
-    public record State(double rps, double writeRps, double valueKb, int txnOps) {}
+    public record State(double rps, double writeRps, double valueKb, int txnOps) {
+        /** A transaction's body holds several records, however large one may be. */
+        private static final double MOST_RECORD_KB = 8;
+
+        /** How large our own records become at most. */
+        public double recordKb() {
+            return Math.min(valueKb, MOST_RECORD_KB);
+        }
+    }
 
     /** The limits of the cloud. */
     public record Cloud(double rps, double listLagS) {}
--- a/src/main/java/org/spruceridge/lead/Leader.java
+++ b/src/main/java/org/spruceridge/lead/Leader.java
@@ -89,7 +89,7 @@
                 new Matching(
                         settings,
                         policy,
-                        BindingsRecord.mostBindings(settings.state().valueKb())),
+                        BindingsRecord.mostBindings(settings.state().recordKb())),
                 settings,
                 policy,
                 tenure,
--- a/src/main/java/org/spruceridge/lead/Records.java
+++ b/src/main/java/org/spruceridge/lead/Records.java
@@ -32,9 +32,9 @@
 
     Records(Settings.State limits) {
         this.txnOps = limits.txnOps();
-        this.chunkSize = FinishedRecord.chunkSize(limits.valueKb());
-        this.pageBytes = (int) (limits.valueKb() * 1024);
-        int capacity = Packed.capacity(limits.valueKb());
+        this.chunkSize = FinishedRecord.chunkSize(limits.recordKb());
+        this.pageBytes = (int) (limits.recordKb() * 1024);
+        int capacity = Packed.capacity(limits.recordKb());
         this.bindings = new Pages<>(Keys.BINDINGS, capacity, BindingsRecord::bytes);
         this.finished = new Pages<>(Keys.FINISHED, capacity, this::bytes);
     }
--- a/src/main/java/org/spruceridge/state/Transaction.java
+++ b/src/main/java/org/spruceridge/state/Transaction.java
@@ -35,6 +35,15 @@
         return ops.size();
     }
 
+    public int guardCount() {
+        return guards.size();
+    }
+
+    /** Of its body, in bytes. */
+    public int size() {
+        return body.length;
+    }
+
     private ObjectNode toJson() {
         ObjectNode out = Json.object();
         ArrayNode ifs = out.putArray("guards");
--- /dev/null
+++ b/src/test/java/org/spruceridge/lead/BatchTest.java
@@ -0,0 +1,159 @@
+package org.spruceridge.lead;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotSame;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.spruceridge.cluster.Binding;
+import org.spruceridge.cluster.Cluster;
+import org.spruceridge.cluster.Job;
+import org.spruceridge.cluster.JobSpec;
+import org.spruceridge.cluster.Kind;
+import org.spruceridge.cluster.Machine;
+import org.spruceridge.cluster.Rank;
+import org.spruceridge.cluster.Room;
+import org.spruceridge.config.Settings;
+import org.spruceridge.net.BadMessageException;
+import org.spruceridge.net.Json;
+import org.spruceridge.record.BindingsRecord;
+
+/** What goes into a transaction, and that it stays within the state service's limits at the grown size. */
+final class BatchTest {
+    private static final Settings.State LIMITS = new Settings.State(200, 50, 8, 24);
+    private static final long ATTEMPT = 9L << 24;
+
+    private final Cluster cluster = new Cluster();
+    private final Records records = new Records(LIMITS);
+    private final Tenure tenure = new Tenure(9, 1, 0);
+    private int writes;
+
+    private static Job job(int number, int tasks) {
+        return new Job(
+                new JobSpec(
+                        String.format("j-%06d", number),
+                        "c",
+                        "red",
+                        Rank.NORMAL,
+                        tasks,
+                        new Room(1, 0, 1),
+                        Optional.empty(),
+                        Optional.empty(),
+                        false,
+                        false,
+                        true,
+                        "img",
+                        1,
+                        60,
+                        0,
+                        0,
+                        OptionalDouble.empty()),
+                1,
+                0);
+    }
+
+    private Binding binding(Job job, int index, Machine machine) {
+        Binding b = new Binding(job, index, ATTEMPT + index, machine, Binding.Stage.PROPOSED, 0);
+        cluster.bind(b);
+        return b;
+    }
+
+    private Batch batch() {
+        return new Batch(records, tenure, "w" + (++writes));
+    }
+
+    private Machine machine(int number) {
+        Machine m = new Machine(String.format("i-%06d", number), "", new Kind("t4", "a", number % 2 == 0), 0, 0);
+        cluster.add(m);
+        return m;
+    }
+
+    private static void commit(Batch batch, long revision) {
+        batch.transaction();
+        batch.written(revision);
+        batch.bound().forEach(b -> b.stage(Binding.Stage.COMMITTED));
+    }
+
+    @Test
+    void theGrownPictureGoesIntoAFewTransactionsWithinAllLimits() throws BadMessageException {
+        Deque<Binding> waiting = new ArrayDeque<>();
+        List<Job> jobs = new ArrayList<>();
+        for (int i = 0; i < 60; i++) {
+            jobs.add(job(i, 100));
+        }
+        int count = 0;
+        for (int i = 0; i < 1120; i++) {
+            Machine m = machine(i);
+            for (int k = 0; k < 4; k++, count++) {
+                waiting.add(binding(jobs.get(count % 60), count / 60, m));
+            }
+        }
+        int transactions = 0;
+        int changes = 0;
+        Set<String> keys = new HashSet<>();
+        while (!waiting.isEmpty()) {
+            Batch batch = batch();
+            waiting.removeIf(batch::bind);
+            commit(batch, ++transactions);
+            changes += batch.transaction().changeCount();
+            assertTrue(batch.transaction().changeCount() <= LIMITS.txnOps());
+            assertTrue(batch.transaction().guardCount() <= 4 * LIMITS.txnOps());
+            assertTrue(
+                    batch.transaction().size() <= 64 << 10,
+                    "body of " + batch.transaction().size());
+        }
+        assertTrue(transactions <= 8 && changes <= 24, transactions + " transactions, " + changes + " changes");
+        int recorded = 0;
+        for (Machine m : cluster.machines()) {
+            keys.add(records.bindings().of(m).key());
+        }
+        for (Machine m : cluster.machines()) {
+            Pages.Page<Machine> page = records.bindings().of(m);
+            if (keys.remove(page.key())) {
+                var value = records.bindingsPage("w", page, b -> true);
+                assertTrue(Json.bytes(value).length <= LIMITS.valueKb() * 1024);
+                recorded += BindingsRecord.read(value).stream()
+                        .mapToInt(on -> on.bound().size())
+                        .sum();
+            }
+        }
+        assertEquals(4480, recorded);
+    }
+
+    @Test
+    void aPageSplitThatIsNotCarriedOutLeavesTheMachineWhereItWas() {
+        Job job = job(1, 100_000);
+        int index = 0;
+        List<Machine> machines = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            machines.add(machine(i));
+            Batch batch = batch();
+            for (int k = 0; k < 40; k++) {
+                assertTrue(batch.bind(binding(job, index++, machines.get(i))));
+            }
+            commit(batch, i + 1);
+        }
+        Machine first = machines.get(0);
+        Pages.Page<Machine> page = records.bindings().of(first);
+        List<Binding> more = new ArrayList<>();
+        while (!records.bindings().isOverfull(page)) {
+            more.add(binding(job, index++, first));
+        }
+        Batch batch = batch();
+        more.forEach(b -> assertTrue(batch.bind(b)));
+        assertNotSame(page, records.bindings().of(first));
+        assertEquals(2, batch.transaction().changeCount(), "both pages are written together");
+        // Were the machine taken to be on its new page now, the old page would name its tasks for ever.
+        batch.undo();
+        assertSame(page, records.bindings().of(first));
+    }
+}
--- a/src/test/java/org/spruceridge/sim/SimState.java
+++ b/src/test/java/org/spruceridge/sim/SimState.java
@@ -102,6 +102,9 @@
             if (path.equals("/follow")) {
                 follow(call.target(), answer);
             } else if (path.equals("/txn")) {
+                if (call.body().length > 64 << 10) {
+                    throw new BadMessageException("too large");
+                }
                 answer.accept(txn(Json.object(call.body())));
             } else if (path.equals("/grants")) {
                 Grant grant = new Grant(Times.millis(Json.number(Json.object(call.body()), "ttlMs")));
@@ -165,6 +168,11 @@
         if (ops.size() > txnOps || body.path("guards").size() > 4 * txnOps) {
             throw new BadMessageException("too many");
         }
+        for (JsonNode op : ops) {
+            if (Json.bytes(Json.object().set("v", op.path("v"))).length > World.VALUE_KB * 1024) {
+                throw new BadMessageException("too large");
+            }
+        }
         for (JsonNode op : ops) {
             if (op.has("permit") && !grants.containsKey(op.get("permit").asLong())) {
                 return new HttpAnswer(400, Json.bytes(Json.object().put("error", "no such lease")));
--- a/src/test/java/org/spruceridge/sim/World.java
+++ b/src/test/java/org/spruceridge/sim/World.java
@@ -34,6 +34,7 @@
     public static final double CANCEL_S = 30;
     public static final double BOOT_S = 5;
     public static final double TEAM_CPUS = 16;
+    static final int VALUE_KB = 4;
 
     static final Address STATE = new Address("10.2.0.1", 1);
     static final Address CLOUD = new Address("10.2.0.2", 1);
@@ -280,7 +281,7 @@
         facts.putObject("state")
                 .put("rps", 200)
                 .put("write_rps", 100)
-                .put("value_kb", 4)
+                .put("value_kb", VALUE_KB)
                 .put("txn_ops", 12);
         facts.putObject("cloud").put("rps", 10).put("list_lag_s", 2);
         facts.putObject("resources").put("core_share", 1).put("mem_mb", 200).put("max_sockets", 100);
--- a/src/test/java/org/spruceridge/story/FailureStoriesTest.java
+++ b/src/test/java/org/spruceridge/story/FailureStoriesTest.java
@@ -498,7 +498,7 @@
         world.cutPeers(cut);
         world.net.weather(
                 (from, to, call) -> from.equals(cut) && to.host().startsWith("10.2.0.1") ? Fate.LOST : Fate.DELIVERED);
-        world.loop.run(6);
+        world.loop.run(26); // past the end of its last watch
         world.crash(old);
         until(() -> world.leader() != null, 30);
         assertNotEquals(cut, world.leader());
