--- a/src/test/java/org/spruceridge/schedule/MatchingTest.java
+++ b/src/test/java/org/spruceridge/schedule/MatchingTest.java
@@ -30,8 +30,8 @@
     private static final long WALL = 1_000_000;
     private static final Address HERE = new Address("10.0.0.1", 1);
 
-    private final Cluster cluster = new Cluster();
-    private final Settings settings = new Settings(
+    /** Two teams, of which one has a limit. */
+    static final Settings SETTINGS = new Settings(
             "n0",
             "a",
             HERE,
@@ -49,7 +49,9 @@
             new Settings.Cloud(4, 2),
             new Settings.Resources(1, 100, 100),
             0);
-    private final Matching matching = new Matching(settings, Policy.defaults(), 50);
+
+    private final Cluster cluster = new Cluster();
+    private final Matching matching = new Matching(SETTINGS, Policy.defaults(), 50);
     private int jobs;
 
     @BeforeEach
--- a/src/test/java/org/spruceridge/schedule/PlainWalkTest.java
+++ b/src/test/java/org/spruceridge/schedule/PlainWalkTest.java
@@ -25,9 +25,7 @@
 import org.spruceridge.cluster.MachineType;
 import org.spruceridge.cluster.Rank;
 import org.spruceridge.cluster.Room;
-import org.spruceridge.config.Address;
 import org.spruceridge.config.Policy;
-import org.spruceridge.config.Settings;
 
 /**
  * The matching by columns of equal machines against the document's walk over every pair of a task and a machine, on
@@ -36,7 +34,6 @@
 final class PlainWalkTest {
     private static final long NOW = 1_000_000_000_000L;
     private static final long WALL = 1_000_000;
-    private static final Address HERE = new Address("10.0.0.1", 1);
     private static final ImmutableMap<String, MachineType> TYPES = ImmutableMap.of(
             "t4", new MachineType("t4", new Room(4, 0, 16), 1, 0.2, 0.06, 20, ImmutableList.of("a", "b")),
             "t8", new MachineType("t8", new Room(8, 0, 32), 1, 0.5, 0.11, 20, ImmutableList.of("a", "b")));
@@ -46,23 +43,6 @@
             Policy.defaults().stops(),
             Policy.defaults().leading(),
             Policy.defaults().fleet());
-    private static final Settings SETTINGS = new Settings(
-            "n0",
-            "a",
-            HERE,
-            HERE,
-            ImmutableList.of(),
-            HERE,
-            HERE,
-            ImmutableList.of("a", "b"),
-            ImmutableMap.of(
-                    "red", new Settings.Team("red", 0, 0, 0, 0), "blue", new Settings.Team("blue", 4, 12, 0, 0)),
-            ImmutableList.of(),
-            new Settings.Workers(2, 14, 30),
-            new Settings.State(100, 100, 4, 12),
-            new Settings.Cloud(4, 2),
-            new Settings.Resources(1, 100, 100),
-            0);
 
     private final Cluster cluster = new Cluster();
     private final List<Job> jobs = new ArrayList<>();
@@ -199,7 +179,7 @@
     void columnsBindWhatThePlainWalkBinds(long seed) {
         SplittableRandom random = new SplittableRandom(seed);
         picture(random, 3 + random.nextInt(10), 2 + random.nextInt(8));
-        List<String> plan = new Matching(SETTINGS, NO_HOLDING, 50)
+        List<String> plan = new Matching(MatchingTest.SETTINGS, NO_HOLDING, 50)
                 .plan(cluster, NOW, WALL).placements().stream()
                         .map(p -> p.job().id() + " on " + p.machine().name())
                         .toList();
@@ -220,7 +200,7 @@
         }
         // Two types, two zones, spot or not, and four tasks' worth of fullness at most.
         assertTrue(seen.size() <= 2 * 2 * 2 * 4, "columns: " + seen.size());
-        Plan plan = new Matching(SETTINGS, Policy.defaults(), 50).plan(cluster, NOW, WALL);
+        Plan plan = new Matching(MatchingTest.SETTINGS, Policy.defaults(), 50).plan(cluster, NOW, WALL);
         assertEquals(seen.size(), plan.columns());
     }
 }
