--- a/src/main/java/org/spruceridge/lead/Batch.java
+++ b/src/main/java/org/spruceridge/lead/Batch.java
@@ -48,6 +48,7 @@
         this.records = records;
         this.tenure = tenure;
         this.write = write;
+        records.measureAnew();
     }
 
     boolean isEmpty() {
@@ -139,7 +140,7 @@
     /** The machine's page has no room for more: the machine moves to another, both written together. */
     private boolean moveAndBind(Binding b, Page<Machine> from) {
         Machine machine = b.machine();
-        Page<Machine> to = records.bindings().withRoomFor(machine);
+        Page<Machine> to = records.bindings().withRoomFor(machine, List.of());
         boolean both = fits(from, null, false, 0, b.job())
                 && bindings.size() + (bindings.contains(from) ? 0 : 1) < records.mostPages()
                 && ops() + 2 <= records.txnOps();
@@ -157,10 +158,7 @@
     }
 
     private Page<Machine> place(Machine machine) {
-        Page<Machine> page = bindings.stream()
-                .filter(p -> records.bindings().wouldHold(p, machine))
-                .findFirst()
-                .orElseGet(() -> records.bindings().withRoomFor(machine));
+        Page<Machine> page = records.bindings().withRoomFor(machine, bindings);
         records.bindings().put(machine, page);
         return page;
     }
@@ -168,7 +166,7 @@
     private Page<Chunk> pageOf(Chunk chunk) {
         Page<Chunk> page = records.finished().of(chunk);
         if (page == null) {
-            page = records.finished().withRoomFor(chunk);
+            page = records.finished().withRoomFor(chunk, chunks);
             records.finished().put(chunk, page);
         }
         return page;
--- a/src/main/java/org/spruceridge/lead/Pages.java
+++ b/src/main/java/org/spruceridge/lead/Pages.java
@@ -1,5 +1,6 @@
 package org.spruceridge.lead;
 
+import com.google.common.collect.Iterables;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -19,6 +20,7 @@
     private final ToIntFunction<Collection<T>> bytes;
     private final Map<T, Page<T>> places = new HashMap<>();
     private final List<Page<T>> pages = new ArrayList<>();
+    private final Map<Page<T>, Integer> measured = new HashMap<>();
     private int lastNumber;
 
     /** One record. */
@@ -75,11 +77,10 @@
     }
 
     void put(T item, Page<T> page) {
-        Page<T> before = places.put(item, page);
-        if (before != null) {
-            before.items.remove(item);
-        }
+        remove(item);
+        places.put(item, page);
         page.items.add(item);
+        measured.remove(page);
     }
 
     /** The item needs no record any more; it vanishes from its page with the page's next write. */
@@ -87,26 +88,32 @@
         Page<T> page = places.remove(item);
         if (page != null) {
             page.items.remove(item);
+            measured.remove(page);
         }
     }
 
-    int bytes(Page<T> page) {
-        return bytes.applyAsInt(page.items);
+    /**
+     * What items take has changed: pages are measured anew. Between two calls each is measured once, however many items
+     * look for room: measured for each of thousands of bindings, in a burst it took more than the machine gives.
+     */
+    void measureAnew() {
+        measured.clear();
     }
 
-    boolean isOverfull(Page<T> page) {
-        return bytes(page) > capacity;
+    private int bytes(Page<T> page) {
+        return measured.computeIfAbsent(page, p -> bytes.applyAsInt(p.items));
     }
 
-    /** True if the item could be put on this page too. */
-    boolean wouldHold(Page<T> page, T item) {
-        return bytes(page) + bytes.applyAsInt(List.of(item)) <= capacity;
+    boolean isOverfull(Page<T> page) {
+        return bytes(page) > capacity;
     }
 
-    /** A page, other than its own, that has room for the item: the first that fits, or a new one. */
-    Page<T> withRoomFor(T item) {
-        for (Page<T> page : pages) {
-            if (page != places.get(item) && wouldHold(page, item)) {
+    /** A page, other than its own, that has room for the item: a preferred one, else the first that fits or a new one. */
+    Page<T> withRoomFor(T item, Collection<Page<T>> preferred) {
+        Page<T> own = places.get(item);
+        int most = capacity - bytes.applyAsInt(List.of(item));
+        for (Page<T> page : Iterables.concat(preferred, pages)) {
+            if (page != own && bytes(page) <= most) {
                 return page;
             }
         }
--- a/src/main/java/org/spruceridge/lead/Records.java
+++ b/src/main/java/org/spruceridge/lead/Records.java
@@ -47,6 +47,12 @@
         return finished;
     }
 
+    /** A batch begins: what is bound and proposed since the last is counted in. */
+    void measureAnew() {
+        bindings.measureAnew();
+        finished.measureAnew();
+    }
+
     int chunkSize() {
         return chunkSize;
     }
--- a/src/main/java/org/spruceridge/schedule/Matching.java
+++ b/src/main/java/org/spruceridge/schedule/Matching.java
@@ -5,9 +5,11 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.spruceridge.cluster.Binding;
 import org.spruceridge.cluster.Cluster;
 import org.spruceridge.cluster.Job;
@@ -284,6 +286,7 @@
         private final class Stopping {
             private final Map<Slot, Room> coming = new LinkedHashMap<>();
             private final List<Binding> stops = new ArrayList<>();
+            private final Set<Machine> stoppedOn = new HashSet<>();
 
             /** A running task that may give way, and what stopping it throws away. */
             private record Victim(Slot slot, Binding binding, double loss) {}
@@ -340,6 +343,7 @@
                 victims.sort(Comparator.comparingDouble(Victim::loss));
                 for (Victim v : victims.subList(0, Math.min(wanted, victims.size()))) {
                     stops.add(v.binding);
+                    stoppedOn.add(v.slot.machine());
                     Room after = coming.get(v.slot).plus(v.binding.job().spec().task());
                     coming.put(v.slot, after.minus(task));
                 }
@@ -359,7 +363,7 @@
             private boolean mayStop(Machine m) {
                 boolean recent = m.lastStop() != Long.MIN_VALUE
                         && (now - m.lastStop()) / 1e9 < policy.stops().perMachineS();
-                return !recent && stops.stream().noneMatch(b -> b.machine() == m);
+                return !recent && !stoppedOn.contains(m);
             }
 
             private boolean isVictim(Candidate c, Binding b, Room free) {
--- a/src/test/java/org/spruceridge/lead/BatchTest.java
+++ b/src/test/java/org/spruceridge/lead/BatchTest.java
@@ -147,6 +147,7 @@
         List<Binding> more = new ArrayList<>();
         while (!records.bindings().isOverfull(page)) {
             more.add(binding(job, index++, first));
+            records.measureAnew();
         }
         Batch batch = batch();
         more.forEach(b -> assertTrue(batch.bind(b)));
