--- a/src/main/java/org/spruceridge/lead/Ledger.java
+++ b/src/main/java/org/spruceridge/lead/Ledger.java
@@ -4,10 +4,8 @@
 import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.spruceridge.cluster.Binding;
 import org.spruceridge.cluster.Cluster;
 import org.spruceridge.cluster.Job;
@@ -34,6 +32,13 @@
     private static final long FIRST_RETRY = Times.millis(100);
     private static final long LAST_RETRY = Times.millis(1600);
 
+    private enum Write {
+        BIND,
+        RELEASE,
+        /** A release whose task is done. */
+        END
+    }
+
     /** Hears what became of the writes. */
     public interface Listener {
         /** Something was committed, and these tasks are now bound. */
@@ -54,8 +59,9 @@
     private final Listener listener;
     private final Latencies latencies;
     private final Records records;
-    private final Map<Binding, Boolean> releases = new LinkedHashMap<>();
-    private final Set<Binding> binds = new LinkedHashSet<>();
+    /** What waits for its record, in the order of its coming. */
+    private final Map<Binding, Write> waiting = new LinkedHashMap<>();
+
     private Batch inFlight;
     private boolean waitsForTurn;
     private long writes;
@@ -86,7 +92,7 @@
 
     /** Puts a proposed binding, already part of the picture, on record. */
     public void bind(Binding binding) {
-        binds.add(binding);
+        waiting.put(binding, Write.BIND);
         pump();
     }
 
@@ -96,21 +102,21 @@
         if (binding.stage() == Binding.Stage.RELEASING && !done) {
             return;
         }
-        if (binds.remove(binding)) {
+        if (waiting.remove(binding, Write.BIND)) {
             cluster.unbind(binding, loop.nanos()); // never on record
             settle(binding.job());
             return;
         }
         binding.stage(Binding.Stage.RELEASING);
         cluster.vacate(binding);
-        releases.merge(binding, done, Boolean::logicalOr);
+        waiting.merge(binding, done ? Write.END : Write.RELEASE, (a, b) -> a == Write.END ? a : b);
         pump();
     }
 
     /** Lets go of what a cancelled job had under way: proposals that are not being written, and its finished tasks. */
     public void withdraw(Job job) {
         for (Binding b : ImmutableList.copyOf(job.bindings())) {
-            if (binds.remove(b)) {
+            if (waiting.remove(b, Write.BIND)) {
                 cluster.unbind(b, loop.nanos());
             }
         }
@@ -125,15 +131,16 @@
 
     /** Writes that wait or are on their way. */
     public int backlog() {
-        return releases.size() + binds.size() + (inFlight == null ? 0 : 1);
+        return waiting.size() + (inFlight == null ? 0 : 1);
     }
 
     private void pump() {
-        if (inFlight != null || waitsForTurn || (releases.isEmpty() && binds.isEmpty())) {
+        if (inFlight != null || waitsForTurn || waiting.isEmpty()) {
             return;
         }
         waitsForTurn = true;
-        Rank rank = releases.isEmpty() ? Rank.DECISIONS : Rank.REPORTS;
+        boolean decisionsOnly = waiting.values().stream().allMatch(w -> w == Write.BIND);
+        Rank rank = decisionsOnly ? Rank.DECISIONS : Rank.REPORTS;
         state.commitAtTurn(
                 rank,
                 records.likelyChanges(),
@@ -156,11 +163,17 @@
 
     private Batch compose() {
         Batch batch = new Batch(records, tenure, "w" + tenure.term() + "." + (++writes));
-        releases.entrySet().removeIf(e -> batch.release(e.getKey(), e.getValue()));
-        binds.removeIf(batch::bind);
+        // Whatever has waited longest chooses the pages. Were releases to go first, a stream of them would keep the
+        // pages
+        // of machines that have just come up, on which nothing ends yet, off the record for as long as it lasts.
+        waiting.entrySet().removeIf(e -> take(batch, e.getKey(), e.getValue()));
         return batch.isEmpty() ? null : batch;
     }
 
+    private static boolean take(Batch batch, Binding binding, Write write) {
+        return write == Write.BIND ? batch.bind(binding) : batch.release(binding, write == Write.END);
+    }
+
     private void sendAgain(Batch batch, long retry) {
         state.commit(batch.transaction(), batch.rank(), scope.guard(result -> judge(batch, result, retry)));
     }
@@ -246,18 +259,18 @@
         }
         inFlight = null;
         batch.undo();
-        Map<Binding, Boolean> again = new LinkedHashMap<>(batch.released());
-        again.putAll(releases);
-        releases.clear();
-        releases.putAll(again);
+        Map<Binding, Write> since = new LinkedHashMap<>(waiting);
+        waiting.clear();
+        batch.released().forEach((b, done) -> waiting.put(b, done ? Write.END : Write.RELEASE));
         for (Binding b : batch.bound()) {
             if (b.stage() == Binding.Stage.PROPOSED) {
-                binds.add(b);
+                waiting.put(b, Write.BIND);
             } else {
-                releases.remove(b); // released meanwhile, and never on record
+                since.remove(b); // released meanwhile, and never on record
                 cluster.unbind(b, loop.nanos());
             }
         }
+        waiting.putAll(since);
         cancelled.forEach(listener::cancelled);
         pump();
     }
--- /dev/null
+++ b/src/test/java/org/spruceridge/lead/LedgerTest.java
@@ -0,0 +1,166 @@
+package org.spruceridge.lead;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import org.junit.jupiter.api.Test;
+import org.spruceridge.cluster.Binding;
+import org.spruceridge.cluster.Cluster;
+import org.spruceridge.cluster.Job;
+import org.spruceridge.cluster.JobSpec;
+import org.spruceridge.cluster.Kind;
+import org.spruceridge.cluster.Machine;
+import org.spruceridge.cluster.Rank;
+import org.spruceridge.cluster.Room;
+import org.spruceridge.config.Address;
+import org.spruceridge.config.Settings;
+import org.spruceridge.net.Budget;
+import org.spruceridge.net.HttpAnswer;
+import org.spruceridge.net.HttpClient;
+import org.spruceridge.net.Json;
+import org.spruceridge.net.Latencies;
+import org.spruceridge.net.Oddities;
+import org.spruceridge.net.Scope;
+import org.spruceridge.net.Times;
+import org.spruceridge.sim.SimLoop;
+import org.spruceridge.state.StateClient;
+
+/** How long writes wait for their record at the size of a fleet, when changes are short. */
+final class LedgerTest {
+    private static final Address HERE = new Address("10.0.0.1", 1);
+    private static final Settings SETTINGS = new Settings(
+            "n0",
+            "a",
+            HERE,
+            HERE,
+            ImmutableList.of(),
+            HERE,
+            HERE,
+            ImmutableList.of("a"),
+            ImmutableMap.of("red", new Settings.Team("red", 0, 0, 0, 0)),
+            ImmutableList.of(),
+            new Settings.Workers(4, 22, 42),
+            new Settings.State(500, 80, 4, 12),
+            new Settings.Cloud(8, 5),
+            new Settings.Resources(1, 414, 3203),
+            0);
+    /** What a leader has of 80 changes a second for itself. */
+    private static final double CHANGES_PER_S = 49;
+
+    private final SimLoop loop = new SimLoop();
+    private final Cluster cluster = new Cluster();
+    private final Budget budget = new Budget(loop, 90, CHANGES_PER_S, 1);
+    private final Ledger ledger = ledger();
+    private final Deque<Binding> proposed = new ArrayDeque<>();
+    private long revision = 1;
+    private long attempt = 9L << 24;
+
+    private Ledger ledger() {
+        Oddities oddities = new Oddities(loop);
+        Latencies latencies = new Latencies(loop);
+        HttpClient http = (to, call, timeout, done) -> {
+            long ring = ++revision;
+            loop.after(
+                    Times.millis(12),
+                    () -> done.accept(
+                            new HttpAnswer(200, Json.bytes(Json.object().put("ring", ring)))));
+            return () -> {};
+        };
+        StateClient state = new StateClient(loop, http, HERE, budget, oddities, latencies);
+        Ledger.Listener nothing = new Ledger.Listener() {
+            @Override
+            public void committed(ImmutableSet<Machine> bound) {}
+
+            @Override
+            public void cancelled(Job job) {}
+
+            @Override
+            public void broken(String why) {
+                throw new AssertionError(why);
+            }
+        };
+        return new Ledger(loop, new Scope(loop), state, cluster, new Tenure(9, 1, 0), SETTINGS, latencies, nothing);
+    }
+
+    private Job job() {
+        Job job = new Job(
+                new JobSpec(
+                        "j-000001",
+                        "c",
+                        "red",
+                        Rank.NORMAL,
+                        100_000,
+                        new Room(2, 0, 2),
+                        Optional.empty(),
+                        Optional.empty(),
+                        false,
+                        false,
+                        true,
+                        "img",
+                        1,
+                        40,
+                        0,
+                        0,
+                        OptionalDouble.empty()),
+                1,
+                0);
+        cluster.add(job);
+        return job;
+    }
+
+    private List<Machine> machines(int from, int count) {
+        List<Machine> out = new ArrayList<>();
+        for (int i = from; i < from + count; i++) {
+            Machine m = new Machine(String.format("i-%06d", i), "", new Kind("t8", "a", true), loop.nanos(), 0);
+            cluster.add(m);
+            out.add(m);
+        }
+        return out;
+    }
+
+    private Binding bind(Job job, Machine m) {
+        Binding b = new Binding(job, job.nextWaiting(0), ++attempt, m, Binding.Stage.PROPOSED, loop.nanos());
+        cluster.bind(b);
+        ledger.bind(b);
+        return b;
+    }
+
+    @Test
+    void noProposalWaitsLongBehindAStreamOfEnds() {
+        Job job = job();
+        List<Machine> machines = machines(0, 1460);
+        List<Binding> running = new ArrayList<>();
+        // Machines fill up task by task, so that the pages on which they were put when they had one become too full.
+        for (int k = 0; k < 3; k++) {
+            for (Machine m : machines) {
+                running.add(bind(job, m));
+            }
+            loop.run(30);
+            assertEquals(0, ledger.backlog());
+        }
+        double longestS = 0;
+        for (int i = 0; i < 60 * 20; i++) {
+            Binding ended = running.get(i * 1009 % running.size());
+            ledger.release(ended, true);
+            proposed.add(bind(job, machines.get(i * 701 % machines.size())));
+            loop.run(1.0 / 60);
+            proposed.removeIf(b -> b.stage() != Binding.Stage.PROPOSED);
+            if (!proposed.isEmpty()) {
+                longestS = Math.max(
+                        longestS, Times.seconds(loop.nanos() - proposed.peek().boundAt()));
+            }
+        }
+        assertTrue(longestS < 4, "a proposal waited " + longestS + " s for its record");
+        loop.run(4);
+        assertEquals(0, ledger.backlog());
+    }
+}
