--- a/src/main/java/org/spruceridge/api/Router.java
+++ b/src/main/java/org/spruceridge/api/Router.java
@@ -16,6 +16,7 @@
 /** Hands each request to its endpoint. */
 public final class Router implements RequestHandler {
     private static final String JOBS = "/api/jobs";
+    private static final String REPORTS = "/hello";
 
     private final JobsEndpoint jobs;
     private final Function<Report, Response> reports;
@@ -39,10 +40,15 @@
         this.oddities = oddities;
     }
 
+    /** True for what workers send. */
+    public static boolean isReport(Request request) {
+        return request.path().equals(REPORTS);
+    }
+
     @Override
     public void handle(Request request, Consumer<Response> answer) {
         String path = request.path();
-        if (path.equals("/hello")) {
+        if (isReport(request)) {
             only("POST", request, answer, () -> timed(Latencies.Kind.REPORTS, answer)
                     .accept(report(request.body())));
         } else if (path.equals("/healthz")) {
--- a/src/main/java/org/spruceridge/cli/RehearseCommand.java
+++ b/src/main/java/org/spruceridge/cli/RehearseCommand.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.jar.JarFile;
+import org.spruceridge.api.Router;
 import org.spruceridge.config.Address;
 import org.spruceridge.config.Policy;
 import org.spruceridge.config.Settings;
@@ -20,6 +21,7 @@
 import org.spruceridge.net.Json;
 import org.spruceridge.net.NettyHttpClient;
 import org.spruceridge.net.NettyLoop;
+import org.spruceridge.net.Sockets;
 import org.spruceridge.node.Node;
 import org.spruceridge.peer.NettyPeerLink;
 import picocli.CommandLine.Command;
@@ -37,10 +39,11 @@
         Settings settings = settings();
         NettyLoop loop = new NettyLoop();
         NettyPeerLink link = new NettyPeerLink(loop.group(), settings.peerListen(), List.of(settings.peerListen()));
-        NettyHttpClient client = new NettyHttpClient(loop);
+        Sockets sockets = new Sockets(settings.resources().maxSockets());
+        NettyHttpClient client = new NettyHttpClient(loop, sockets);
         Node node = new Node(loop, client, link, new SplittableRandom(1), settings, Policy.defaults());
         link.listen();
-        new HttpServer(loop, 16, node.handler()).start(settings.serveOn());
+        new HttpServer(loop, sockets, Router::isReport, PATIENCE, node.handler()).start(settings.serveOn());
         loop.execute(node::start);
         List<HttpCall> calls = List.of(
                 HttpCall.get("/healthz"),
--- a/src/main/java/org/spruceridge/cli/ServeCommand.java
+++ b/src/main/java/org/spruceridge/cli/ServeCommand.java
@@ -4,11 +4,14 @@
 import java.util.concurrent.Callable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.spruceridge.api.Router;
 import org.spruceridge.config.Policy;
 import org.spruceridge.config.Settings;
 import org.spruceridge.net.HttpServer;
 import org.spruceridge.net.NettyHttpClient;
 import org.spruceridge.net.NettyLoop;
+import org.spruceridge.net.Sockets;
+import org.spruceridge.net.Times;
 import org.spruceridge.node.Node;
 import org.spruceridge.peer.NettyPeerLink;
 import picocli.CommandLine.Command;
@@ -17,9 +20,6 @@
 /** Runs a controller node until the process is killed. */
 @Command(name = "serve", mixinStandardHelpOptions = true, description = "Runs a controller node.")
 final class ServeCommand implements Callable<Integer> {
-    /** The share of the sockets that those who come to us may take; the rest is for our own calls. */
-    private static final double INBOUND_SHARE = 0.8;
-
     @Mixin
     private SettingsFiles files;
 
@@ -37,9 +37,11 @@
                 loop.group(),
                 settings.peerListen(),
                 settings.members().stream().map(Settings.Member::address).toList());
-        Node node = new Node(loop, new NettyHttpClient(loop), link, random, settings, policy);
-        int sockets = (int) (settings.resources().maxSockets() * INBOUND_SHARE);
-        HttpServer server = new HttpServer(loop, sockets, node.handler());
+        Sockets sockets = new Sockets(settings.resources().maxSockets());
+        Node node = new Node(loop, new NettyHttpClient(loop, sockets), link, random, settings, policy);
+        // A worker that has not reported for a lease has lost it: it is gone, or comes on another connection.
+        long workerIdle = Times.nanos(settings.workers().leaseS());
+        HttpServer server = new HttpServer(loop, sockets, Router::isReport, workerIdle, node.handler());
         link.listen();
         server.start(settings.serveOn());
         loop.execute(node::start);
--- a/src/main/java/org/spruceridge/net/HttpServer.java
+++ b/src/main/java/org/spruceridge/net/HttpServer.java
@@ -22,26 +22,45 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.function.Predicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.spruceridge.config.Address;
 
-/** The server on Netty: a handler for each connection, bounded in number, in body size and in time. */
+/**
+ * The server on Netty: a handler for each connection, bounded in number, in body size and in time. Connections on which
+ * workers report have a share of their own, and when that is used up the one goes that has been silent longest: its
+ * worker opens another if it is still there. So neither dead connections in nor a whole fleet shut anyone out.
+ */
 public final class HttpServer {
     private static final Logger LOG = LoggerFactory.getLogger(HttpServer.class);
     private static final int MAX_BODY = 64 << 10;
-    private static final int BACKLOG = 256;
     private static final long REQUEST_NANOS = Times.nanos(10);
     private static final long IDLE_NANOS = Times.nanos(90);
 
     private final NettyLoop loop;
-    private final int maxConnections;
+    private final Sockets sockets;
+    private final Predicate<Request> fromWorker;
+    private final long workerIdleNanos;
     private final RequestHandler handler;
+    /** Connections on which workers report, the one silent longest first. */
+    private final Set<Connection> workers = new LinkedHashSet<>();
+
     private int connections;
 
-    public HttpServer(NettyLoop loop, int maxConnections, RequestHandler handler) {
+    /** {@code fromWorker} tells the requests of workers, whose connections are closed after so long a silence. */
+    public HttpServer(
+            NettyLoop loop,
+            Sockets sockets,
+            Predicate<Request> fromWorker,
+            long workerIdleNanos,
+            RequestHandler handler) {
         this.loop = loop;
-        this.maxConnections = maxConnections;
+        this.sockets = sockets;
+        this.fromWorker = fromWorker;
+        this.workerIdleNanos = workerIdleNanos;
         this.handler = handler;
     }
 
@@ -50,7 +69,8 @@
         new ServerBootstrap()
                 .group(loop.group())
                 .channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                // After a restart of all nodes the whole fleet connects within a moment.
+                .option(ChannelOption.SO_BACKLOG, sockets.mostInbound())
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
@@ -83,12 +103,13 @@
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
-            if (connections >= maxConnections) {
+            if (connections >= sockets.mostInbound() && !closeSilentWorker()) {
                 ctx.close();
                 return;
             }
             connections++;
             counted = true;
+            sockets.opened();
             expect(ctx, IDLE_NANOS);
             ctx.fireChannelActive();
         }
@@ -104,12 +125,18 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
+            closed();
+            ctx.fireChannelInactive();
+        }
+
+        void closed() {
             pending.cancel();
+            workers.remove(connection);
             if (counted) {
                 counted = false;
                 connections--;
+                sockets.closed();
             }
-            ctx.fireChannelInactive();
         }
 
         void received() {
@@ -119,7 +146,7 @@
 
         void answered(ChannelHandlerContext ctx) {
             if (counted) {
-                expect(ctx, IDLE_NANOS);
+                expect(ctx, workers.contains(connection) ? workerIdleNanos : IDLE_NANOS);
             }
         }
 
@@ -129,10 +156,33 @@
         }
     }
 
+    private boolean closeSilentWorker() {
+        if (workers.isEmpty()) {
+            return false;
+        }
+        workers.iterator().next().close();
+        return true;
+    }
+
     private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
         private Watchdog watchdog;
+        private ChannelHandlerContext context;
         private boolean busy;
 
+        void close() {
+            watchdog.closed();
+            context.close();
+        }
+
+        private void isOfWorker(ChannelHandlerContext ctx) {
+            context = ctx;
+            workers.remove(this);
+            if (workers.size() >= sockets.mostOfWorkers()) {
+                closeSilentWorker();
+            }
+            workers.add(this);
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
             watchdog.received();
@@ -148,6 +198,9 @@
             boolean keepAlive = HttpUtil.isKeepAlive(request);
             Request read =
                     new Request(request.method().name(), path(request.uri()), ByteBufUtil.getBytes(request.content()));
+            if (fromWorker.test(read)) {
+                isOfWorker(ctx);
+            }
             try {
                 handler.handle(read, response -> write(ctx, response, keepAlive));
             } catch (RuntimeException e) {
--- a/src/main/java/org/spruceridge/net/NettyHttpClient.java
+++ b/src/main/java/org/spruceridge/net/NettyHttpClient.java
@@ -24,7 +24,9 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.spruceridge.config.Address;
 
@@ -36,11 +38,19 @@
     private static final int MAX_RESPONSE = 16 << 20;
     private static final int CONNECT_MILLIS = 1000;
 
+    /** Behind an idle connection of this age there may be nobody any more. */
+    private static final long IDLE_NANOS = Times.nanos(90);
+
     private final NettyLoop loop;
+    private final Sockets sockets;
     private final Map<Address, Deque<Connection>> idle = new HashMap<>();
+    /** All idle connections, the one used least lately first. */
+    private final Set<Connection> idleByUse = new LinkedHashSet<>();
 
-    public NettyHttpClient(NettyLoop loop) {
+    public NettyHttpClient(NettyLoop loop, Sockets sockets) {
         this.loop = loop;
+        this.sockets = sockets;
+        sockets.makeRoomBy(this::closeLeastUsed);
     }
 
     @Override
@@ -50,6 +60,8 @@
         Connection reused = takeIdle(to);
         if (reused != null) {
             reused.send(exchange);
+        } else if (sockets.exhausted()) {
+            loop.execute(() -> exchange.finish(HttpAnswer.unsent()));
         } else {
             connect(exchange);
         }
@@ -59,7 +71,8 @@
     private Connection takeIdle(Address to) {
         Deque<Connection> waiting = idle.get(to);
         while (waiting != null && !waiting.isEmpty()) {
-            Connection connection = waiting.pop();
+            Connection connection = waiting.peek();
+            connection.leaveIdle();
             if (connection.channel.isActive()) {
                 return connection;
             }
@@ -67,6 +80,25 @@
         return null;
     }
 
+    /**
+     * Each machine that was sent something has an idle connection here, also long after it is gone: with as many
+     * connections in for the reports of those that are there, they would use up the sockets of a leader.
+     */
+    private boolean closeLeastUsed() {
+        if (idleByUse.isEmpty()) {
+            return false;
+        }
+        idleByUse.iterator().next().close();
+        return true;
+    }
+
+    private void closeAged() {
+        long now = loop.nanos();
+        while (!idleByUse.isEmpty() && now - idleByUse.iterator().next().idleSince > IDLE_NANOS) {
+            closeLeastUsed();
+        }
+    }
+
     private void connect(Exchange exchange) {
         Connection connection = new Connection(exchange.to);
         Bootstrap bootstrap = new Bootstrap()
@@ -85,12 +117,14 @@
                 });
         ChannelFuture connecting = bootstrap.connect(new InetSocketAddress(exchange.to.host(), exchange.to.port()));
         connection.channel = connecting.channel();
+        connection.channel.closeFuture().addListener(f -> connection.closed());
+        connection.opened();
         exchange.connection = connection;
         connecting.addListener(f -> {
             if (!f.isSuccess()) {
                 exchange.finish(HttpAnswer.unsent());
             } else if (exchange.over) {
-                connection.channel.close();
+                connection.close();
             } else {
                 connection.send(exchange);
             }
@@ -138,7 +172,7 @@
 
         private void drop() {
             if (connection != null) {
-                connection.channel.close();
+                connection.close();
             }
         }
     }
@@ -147,11 +181,50 @@
         private final Address to;
         private Channel channel;
         private Exchange current;
+        private boolean counted;
+        private long idleSince;
 
         Connection(Address to) {
             this.to = to;
         }
 
+        void opened() {
+            counted = true;
+            sockets.opened();
+        }
+
+        void close() {
+            closed();
+            channel.close();
+        }
+
+        void closed() {
+            leaveIdle();
+            if (counted) {
+                counted = false;
+                sockets.closed();
+            }
+        }
+
+        private void becomeIdle() {
+            idleSince = loop.nanos();
+            idle.computeIfAbsent(to, a -> new ArrayDeque<>()).push(this);
+            idleByUse.add(this);
+            closeAged();
+            sockets.trim();
+        }
+
+        void leaveIdle() {
+            if (!idleByUse.remove(this)) {
+                return;
+            }
+            Deque<Connection> waiting = idle.get(to);
+            waiting.remove(this);
+            if (waiting.isEmpty()) {
+                idle.remove(to);
+            }
+        }
+
         void send(Exchange exchange) {
             current = exchange;
             exchange.connection = this;
@@ -182,7 +255,7 @@
             }
             HttpAnswer answer = new HttpAnswer(response.status().code(), ByteBufUtil.getBytes(response.content()));
             if (HttpUtil.isKeepAlive(response)) {
-                idle.computeIfAbsent(to, a -> new ArrayDeque<>()).push(this);
+                becomeIdle();
             } else {
                 ctx.close();
             }
@@ -191,13 +264,7 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
-            Deque<Connection> waiting = idle.get(to);
-            if (waiting != null) {
-                waiting.remove(this);
-                if (waiting.isEmpty()) {
-                    idle.remove(to);
-                }
-            }
+            closed();
             fail();
         }
 
