A proposal of a cancelled job is not put back: it made every later transaction fail, and nothing was bound again

Cause: the leader heard of a cancellation while a transaction with that job's bindings was on its way; the conflict put them back, and the marker's guard failed for ever. Story: aCancellationHeardWhileTheBindingIsOnItsWayHoldsUpNoOtherJob. A page is chosen for a machine only when its transaction takes it; faults in callbacks of calls are logged and no longer silent.

--- a/src/main/java/org/spruceridge/lead/Batch.java
+++ b/src/main/java/org/spruceridge/lead/Batch.java
@@ -100,7 +100,8 @@
             return false;
         }
         if (page == null) { // a stray, which no record knows: some page must carry the name of this write
-            page = place(b.machine());
+            page = pageFor(b.machine());
+            records.bindings().put(b.machine(), page);
         }
         bindings.add(page);
         released.put(b, ends);
@@ -126,11 +127,12 @@
             return moveAndBind(b, page);
         }
         if (page == null) {
-            page = place(machine);
+            page = pageFor(machine);
         }
         if (!fits(page, null, false, 0, b.job())) {
             return false;
         }
+        records.bindings().put(machine, page);
         bindings.add(page);
         bound.add(b);
         markers.add(b.job());
@@ -157,10 +159,8 @@
         return true;
     }
 
-    private Page<Machine> place(Machine machine) {
-        Page<Machine> page = records.bindings().withRoomFor(machine, bindings);
-        records.bindings().put(machine, page);
-        return page;
+    private Page<Machine> pageFor(Machine machine) {
+        return records.bindings().withRoomFor(machine, bindings);
     }
 
     private Page<Chunk> pageOf(Chunk chunk) {
--- a/src/main/java/org/spruceridge/lead/Ledger.java
+++ b/src/main/java/org/spruceridge/lead/Ledger.java
@@ -263,11 +263,14 @@
         waiting.clear();
         batch.released().forEach((b, done) -> waiting.put(b, done ? Write.END : Write.RELEASE));
         for (Binding b : batch.bound()) {
-            if (b.stage() == Binding.Stage.PROPOSED) {
+            // A job that was cancelled meanwhile has let go of its proposals already, of this one not, as it was on its
+            // way. Put back, it would make this and every later transaction fail: nothing would ever be bound again.
+            if (b.stage() == Binding.Stage.PROPOSED && !b.job().cancelled()) {
                 waiting.put(b, Write.BIND);
             } else {
-                since.remove(b); // released meanwhile, and never on record
+                since.remove(b); // released or cancelled meanwhile, and never on record
                 cluster.unbind(b, loop.nanos());
+                settle(b.job());
             }
         }
         waiting.putAll(since);
--- a/src/main/java/org/spruceridge/lead/Pages.java
+++ b/src/main/java/org/spruceridge/lead/Pages.java
@@ -77,6 +77,9 @@
     }
 
     void put(T item, Page<T> page) {
+        if (places.get(item) == page) {
+            return;
+        }
         remove(item);
         places.put(item, page);
         page.items.add(item);
--- a/src/main/java/org/spruceridge/net/NettyHttpClient.java
+++ b/src/main/java/org/spruceridge/net/NettyHttpClient.java
@@ -20,6 +20,7 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -28,6 +29,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.spruceridge.config.Address;
 
 /**
@@ -35,6 +38,7 @@
  * is closed, so that no answer is ever taken for that of another request.
  */
 public final class NettyHttpClient implements HttpClient {
+    private static final Logger LOG = LoggerFactory.getLogger(NettyHttpClient.class);
     private static final int MAX_RESPONSE = 16 << 20;
     private static final int CONNECT_MILLIS = 1000;
 
@@ -270,6 +274,9 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            if (!(cause instanceof IOException)) {
+                LOG.error("a fault while an answer was taken", cause); // ours, and not the network's
+            }
             ctx.close();
             fail();
         }
--- a/src/test/java/org/spruceridge/story/FailureStoriesTest.java
+++ b/src/test/java/org/spruceridge/story/FailureStoriesTest.java
@@ -135,6 +135,27 @@
         assertEquals("cancelled", world.poll("j-000001"));
     }
 
+    @Test
+    void aCancellationHeardWhileTheBindingIsOnItsWayHoldsUpNoOtherJob() {
+        until(() -> world.leader() != null, 10);
+        String leader = world.leader();
+        world.net.weather((from, to, call) ->
+                from.equals(leader) && call.target().equals("/txn") && new String(call.body()).contains("bound/")
+                        ? Fate.HELD
+                        : Fate.DELIVERED);
+        world.submit(World.job(1, 1));
+        until(() -> world.net.held() > 0, 30);
+        world.net.clear();
+        Response answer = world.ask(world.follower(), "POST", "/api/jobs/j-000001/abort", (JsonNode) null);
+        assertEquals("cancelled", World.stage(answer));
+        world.submit(World.job(2, 1));
+        until(() -> world.poll("j-000002").equals("done"), 60);
+        assertEquals(1, world.starts().size());
+        world.net.letGo();
+        world.loop.run(World.CANCEL_S);
+        assertFalse(bound("j-000001"));
+    }
+
     @Test
     void aCancellationThatTheLeaderHasNotHeardOfStopsTheStart() {
         until(() -> world.leader() != null, 10);
