What is left of a team's limit is held for a task that comes first: a large one begins among small ones

Cause: each piece of the limit that fell free went to a smaller task of the same team, whatever the scores; a task of 8 CPUs among tasks of 1 did not begin within four minutes (story). Held like room on a machine, only where a machine has room for it.

--- a/src/main/java/org/spruceridge/schedule/Matching.java
+++ b/src/main/java/org/spruceridge/schedule/Matching.java
@@ -59,6 +59,9 @@
         private final Map<Job, Map<String, Integer>> zones = new HashMap<>();
         private final Map<Job, Row> rows = new LinkedHashMap<>();
         private final List<Placement> placements = new ArrayList<>();
+        /** Teams whose limit is held for a row that has been walked. */
+        private final Set<String> heldLimits = new HashSet<>();
+
         private int held;
 
         /** What is still to be placed of a job. */
@@ -194,6 +197,11 @@
             Room task = job.spec().task();
             int most = (int) Math.ceil(slots.size() * policy.rounds().heldShare());
             int wanted = Math.min(row.left, teamHolds(job.spec()));
+            if (wanted == 0 && most > 0 && slots.stream().anyMatch(s -> takes(job, s))) {
+                // The team's limit alone keeps it back. What is left of that is held like room on a machine: else each
+                // piece that falls free goes to a smaller task of the team, and a large one never begins.
+                heldLimits.add(job.spec().team());
+            }
             if (held >= most || wanted == 0) {
                 return;
             }
@@ -221,6 +229,11 @@
             }
         }
 
+        /** True if the machine could take a task of the job now. */
+        private boolean takes(Job job, Slot s) {
+            return s.fits(job.spec().task()) && allowed(job.spec(), s.machine().kind()) && mayRun(job, s);
+        }
+
         /** A machine that will have room after some time. */
         private record Waiting(Slot slot, double inS) {}
 
@@ -231,7 +244,7 @@
         /** How many more tasks of this size the team's limit lets in. */
         private int teamHolds(JobSpec spec) {
             Settings.Team team = settings.teams().get(spec.team());
-            if (team == null) {
+            if (team == null || heldLimits.contains(spec.team())) {
                 return 0;
             }
             Room used = teamUse.get(spec.team());
--- a/src/test/java/org/spruceridge/schedule/MatchingTest.java
+++ b/src/test/java/org/spruceridge/schedule/MatchingTest.java
@@ -163,6 +163,54 @@
         assertTrue(plan.unplaced().isEmpty(), "what the limit keeps back needs no machine");
     }
 
+    @Test
+    void whatIsLeftOfALimitIsHeldForALargeTaskThatComesFirst() {
+        Machine a = machine("a", "a", false);
+        machine("b", "a", false);
+        JobMaker small = job();
+        small.team = "blue";
+        small.cpus = 2;
+        small.tasks = 9;
+        small.estimateS = 60;
+        Job others = small.add();
+        for (int i = 0; i < 4; i++) {
+            running(others, i, a);
+        }
+        Machine c = machine("c", "a", false);
+        running(others, 4, c); // 10 of the team's 12 CPUs
+        JobMaker large = job();
+        large.team = "blue";
+        large.estimateS = 20;
+        Job first = large.add();
+        assertEquals(List.of(), machines(plan()), "the last 2 CPUs are not for another small task");
+        JobMaker otherTeam = job();
+        otherTeam.estimateS = 60;
+        otherTeam.add();
+        assertEquals(1, plan().placements().size(), "other teams are not held up");
+        cluster.unbind(others.binding(4), NOW);
+        assertTrue(plan().placements().stream().anyMatch(p -> p.job() == first));
+    }
+
+    @Test
+    void aLimitIsNotHeldForATaskThatNoMachineTakes() {
+        Machine a = machine("a", "a", false);
+        JobMaker small = job();
+        small.team = "blue";
+        small.cpus = 2;
+        small.tasks = 9;
+        small.estimateS = 60;
+        Job others = small.add();
+        for (int i = 0; i < 3; i++) {
+            running(others, i, a);
+        }
+        JobMaker large = job();
+        large.team = "blue";
+        large.cpus = 8;
+        large.estimateS = 20;
+        large.add();
+        assertEquals(List.of("a"), machines(plan()));
+    }
+
     @Test
     void roomThatATaskHasLeftIsUsedBeforeThatIsOnRecord() {
         Machine m = machine("m", "a", false);
--- a/src/test/java/org/spruceridge/story/FailureStoriesTest.java
+++ b/src/test/java/org/spruceridge/story/FailureStoriesTest.java
@@ -728,6 +728,27 @@
         }
     }
 
+    @Test
+    void aLargeTaskBeginsThoughSmallOnesOfItsTeamFillItsLimit() {
+        until(() -> world.leader() != null, 10);
+        int number = 100;
+        for (int i = 0; i < 32; i++) {
+            submitSmall(++number);
+        }
+        until(() -> world.running().size() == (int) World.TEAM_CPUS, 40);
+        world.submit(World.job(1, 2).put("cpus", 8.0).put("expectS", 10.0));
+        long submitted = world.loop.nanos();
+        while (world.starts().stream().noneMatch(s -> s.startsWith("j-000001"))) {
+            submitSmall(++number);
+            world.loop.run(0.4);
+            assertTrue(world.loop.nanos() - submitted < 240e9, "it must begin within four minutes");
+        }
+    }
+
+    private void submitSmall(int number) {
+        world.submit(World.job(number, 1).put("cpus", 1.0).put("memGb", 1.0).put("expectS", 8.0));
+    }
+
     private void submitUrgent(int number) {
         world.submit(
                 World.job(number, 1).put("rank", "high").put("expectS", 8.0).put("dueS", 40.0));
