--- a/src/main/java/org/spruceridge/fleet/Fleet.java
+++ b/src/main/java/org/spruceridge/fleet/Fleet.java
@@ -308,6 +308,10 @@
     }
 
     private void ask(String name, Claim claim) {
+        if (!leads.getAsBoolean()) {
+            scope.after(RETRY, () -> ask(name, claim));
+            return;
+        }
         Kind offer = claim.offer;
         cloud.rent(name, offer.type(), offer.zone(), offer.spot(), claim.count, scope.guard(rental -> {
             if (rental.kind() == Rental.Kind.UNKNOWN) {
@@ -385,6 +389,11 @@
     }
 
     private void delete(List<Machine> machines, String why) {
+        if (!leads.getAsBoolean()) {
+            // Tried again after the grant is over: another may lead by now, and have given the machine work.
+            scope.after(RETRY, () -> delete(machines, why));
+            return;
+        }
         List<Machine> fresh = new ArrayList<>();
         for (Machine m : machines) {
             m.returning(true);
--- a/src/main/java/org/spruceridge/net/HttpServer.java
+++ b/src/main/java/org/spruceridge/net/HttpServer.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashSet;
 import java.util.Set;
@@ -235,7 +236,11 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            LOG.debug("connection closed: {}", cause.toString());
+            if (cause instanceof IOException) {
+                LOG.debug("connection closed: {}", cause.toString());
+            } else {
+                LOG.error("a fault while a request was taken", cause); // ours, and not the network's
+            }
             ctx.close();
         }
 
--- a/src/main/java/org/spruceridge/net/NettyLoop.java
+++ b/src/main/java/org/spruceridge/net/NettyLoop.java
@@ -53,7 +53,7 @@
     private static void runLogged(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) { // a future that nobody looks at would swallow an error in silence
             LOG.error("a task failed", e);
         }
     }
--- a/src/main/java/org/spruceridge/record/BindingsRecord.java
+++ b/src/main/java/org/spruceridge/record/BindingsRecord.java
@@ -28,6 +28,9 @@
     private static final int BOUND_BYTES = 5 + 9;
 
     private static final int KIND_BYTES = 12;
+    /** Ample for the names of a machine, its type and its zone. */
+    private static final int NAMES_BYTES = 385;
+
     /** The longest id of a job, with its header. */
     private static final int JOB_BYTES = 22;
 
@@ -41,7 +44,7 @@
 
     /** The most bindings of one machine that a page holds. */
     public static int mostBindings(double valueKb) {
-        int own = Packed.sizeOf("x".repeat(60)) + MACHINE_BYTES + 2 * KIND_BYTES + 200;
+        int own = NAMES_BYTES + MACHINE_BYTES + 2 * KIND_BYTES;
         return Math.max(1, (Packed.capacity(valueKb) - own) / (BOUND_BYTES + JOB_BYTES));
     }
 
--- a/src/main/java/org/spruceridge/record/Packed.java
+++ b/src/main/java/org/spruceridge/record/Packed.java
@@ -68,9 +68,4 @@
     public static String writeOf(JsonNode value) {
         return value.path(WRITE).asText();
     }
-
-    /** The most that a text takes. */
-    static int sizeOf(String text) {
-        return 5 + 3 * text.length();
-    }
 }
--- a/src/test/java/org/spruceridge/story/FailureStoriesTest.java
+++ b/src/test/java/org/spruceridge/story/FailureStoriesTest.java
@@ -642,6 +642,27 @@
                 "no lease ran out");
     }
 
+    @Test
+    void aLeaderWhoseGrantIsOverReturnsNoMachineOfItsSuccessor() {
+        until(() -> world.leader() != null, 10);
+        String old = world.leader();
+        boolean[] asked = new boolean[1];
+        boolean[] askedWithoutGrant = new boolean[1];
+        world.net.weather((from, to, call) -> {
+            boolean returns = from.equals(old) && call.target().equals("/hosts/delete");
+            asked[0] |= returns;
+            askedWithoutGrant[0] |= returns && !old.equals(world.leader());
+            boolean watch = call.target().startsWith("/follow?starts=leader");
+            boolean cut = from.equals(old) && (watch || asked[0] && to.host().equals("10.2.0.1"));
+            return returns || cut ? Fate.LOST : Fate.DELIVERED;
+        });
+        world.submit(World.job(1, 1));
+        until(() -> asked[0], 120); // and it will ask again, as no answer comes
+        until(() -> world.leader() != null && !world.leader().equals(old), 30);
+        world.loop.run(World.LEASE_S);
+        assertFalse(askedWithoutGrant[0]);
+    }
+
     @Test
     void aLeaderThatStandsStillForLessThanAGrantGoesOn() {
         until(() -> world.leader() != null, 10);
