--- a/src/main/java/org/spruceridge/lead/Ledger.java
+++ b/src/main/java/org/spruceridge/lead/Ledger.java
@@ -163,9 +163,8 @@
 
     private Batch compose() {
         Batch batch = new Batch(records, tenure, "w" + tenure.term() + "." + (++writes));
-        // Whatever has waited longest chooses the pages. Were releases to go first, a stream of them would keep the
-        // pages
-        // of machines that have just come up, on which nothing ends yet, off the record for as long as it lasts.
+        // Whatever has waited longest chooses the pages. If releases went first, a stream of them would keep
+        // proposals on other pages off the record for as long as it lasts.
         waiting.entrySet().removeIf(e -> take(batch, e.getKey(), e.getValue()));
         return batch.isEmpty() ? null : batch;
     }
--- a/src/test/java/org/spruceridge/schedule/MatchingTest.java
+++ b/src/test/java/org/spruceridge/schedule/MatchingTest.java
@@ -163,21 +163,25 @@
         assertTrue(plan.unplaced().isEmpty(), "what the limit keeps back needs no machine");
     }
 
-    @Test
-    void whatIsLeftOfALimitIsHeldForALargeTaskThatComesFirst() {
-        Machine a = machine("a", "a", false);
-        machine("b", "a", false);
+    /** A job of many tasks of 2 CPUs, of which some run on the machine. */
+    private Job smallTasksOfBlue(int there, Machine m) {
         JobMaker small = job();
         small.team = "blue";
         small.cpus = 2;
         small.tasks = 9;
         small.estimateS = 60;
-        Job others = small.add();
-        for (int i = 0; i < 4; i++) {
-            running(others, i, a);
+        Job job = small.add();
+        for (int i = 0; i < there; i++) {
+            running(job, i, m);
         }
-        Machine c = machine("c", "a", false);
-        running(others, 4, c); // 10 of the team's 12 CPUs
+        return job;
+    }
+
+    @Test
+    void whatIsLeftOfALimitIsHeldForALargeTaskThatComesFirst() {
+        machine("b", "a", false);
+        Job others = smallTasksOfBlue(4, machine("a", "a", false));
+        running(others, 4, machine("c", "a", false)); // 10 of the team's 12 CPUs
         JobMaker large = job();
         large.team = "blue";
         large.estimateS = 20;
@@ -193,16 +197,7 @@
 
     @Test
     void aLimitIsNotHeldForATaskThatNoMachineTakes() {
-        Machine a = machine("a", "a", false);
-        JobMaker small = job();
-        small.team = "blue";
-        small.cpus = 2;
-        small.tasks = 9;
-        small.estimateS = 60;
-        Job others = small.add();
-        for (int i = 0; i < 3; i++) {
-            running(others, i, a);
-        }
+        smallTasksOfBlue(3, machine("a", "a", false));
         JobMaker large = job();
         large.team = "blue";
         large.cpus = 8;
