--- a/src/test/java/org/spruceridge/lead/LedgerTest.java
+++ b/src/test/java/org/spruceridge/lead/LedgerTest.java
@@ -163,4 +163,27 @@
         loop.run(4);
         assertEquals(0, ledger.backlog());
     }
+
+    @Test
+    void thousandsOfBindingsReleasedAtOnceAreWrittenWithinSeconds() {
+        Job job = job();
+        List<Binding> running = new ArrayList<>();
+        for (Machine m : machines(0, 1460)) {
+            for (int k = 0; k < 4; k++) {
+                running.add(bind(job, m));
+            }
+        }
+        loop.run(30);
+        assertEquals(0, ledger.backlog());
+        // A zone with two thirds of the machines has been cut off for a lease.
+        long before = revision;
+        running.subList(0, 4 * 970).forEach(b -> ledger.release(b, false));
+        assertEquals(
+                4 * 1460 - 4 * 970,
+                job.bindings().stream().filter(b -> !b.gone()).count());
+        loop.run(8);
+        assertEquals(0, ledger.backlog());
+        assertTrue(revision - before <= 20, (revision - before) + " transactions");
+        assertEquals(4 * 1460 - 4 * 970, job.bindings().size());
+    }
 }
