--- a/src/test/java/org/spruceridge/lead/BatchTest.java
+++ b/src/test/java/org/spruceridge/lead/BatchTest.java
@@ -39,7 +39,7 @@
     private final Tenure tenure = new Tenure(9, 1, 0);
     private int writes;
 
-    private static Job job(int number, int tasks) {
+    static Job job(int number, int tasks) {
         return new Job(
                 new JobSpec(
                         String.format("j-%06d", number),
--- a/src/test/java/org/spruceridge/lead/LedgerTest.java
+++ b/src/test/java/org/spruceridge/lead/LedgerTest.java
@@ -10,17 +10,12 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
-import java.util.Optional;
-import java.util.OptionalDouble;
 import org.junit.jupiter.api.Test;
 import org.spruceridge.cluster.Binding;
 import org.spruceridge.cluster.Cluster;
 import org.spruceridge.cluster.Job;
-import org.spruceridge.cluster.JobSpec;
 import org.spruceridge.cluster.Kind;
 import org.spruceridge.cluster.Machine;
-import org.spruceridge.cluster.Rank;
-import org.spruceridge.cluster.Room;
 import org.spruceridge.config.Address;
 import org.spruceridge.config.Settings;
 import org.spruceridge.net.Budget;
@@ -60,7 +55,6 @@
     private final Cluster cluster = new Cluster();
     private final Budget budget = new Budget(loop, 90, CHANGES_PER_S, 1);
     private final Ledger ledger = ledger();
-    private final Deque<Binding> proposed = new ArrayDeque<>();
     private long revision = 1;
     private long attempt = 9L << 24;
 
@@ -92,27 +86,7 @@
     }
 
     private Job job() {
-        Job job = new Job(
-                new JobSpec(
-                        "j-000001",
-                        "c",
-                        "red",
-                        Rank.NORMAL,
-                        100_000,
-                        new Room(2, 0, 2),
-                        Optional.empty(),
-                        Optional.empty(),
-                        false,
-                        false,
-                        true,
-                        "img",
-                        1,
-                        40,
-                        0,
-                        0,
-                        OptionalDouble.empty()),
-                1,
-                0);
+        Job job = BatchTest.job(1, 100_000);
         cluster.add(job);
         return job;
     }
@@ -147,6 +121,7 @@
             loop.run(30);
             assertEquals(0, ledger.backlog());
         }
+        Deque<Binding> proposed = new ArrayDeque<>();
         double longestS = 0;
         for (int i = 0; i < 60 * 20; i++) {
             Binding ended = running.get(i * 1009 % running.size());
