--- a/src/main/java/org/spruceridge/api/Admission.java
+++ b/src/main/java/org/spruceridge/api/Admission.java
@@ -33,6 +33,11 @@
                 team.cpusMax() > 0 ? team.cpusMax() : Double.MAX_VALUE,
                 team.gpusMax() > 0 ? team.gpusMax() : Double.MAX_VALUE,
                 Double.MAX_VALUE);
+        if (spec.isService()) {
+            // All replicas run at the same time, and none of them ends to make way for another.
+            Resources all = spec.task().times(spec.tasks());
+            return all.fitsIn(limit) ? Optional.empty() : Optional.of("the job needs more than the team's limit");
+        }
         return spec.task().fitsIn(limit) ? Optional.empty() : Optional.of("a task needs more than the team's limit");
     }
 
@@ -40,23 +45,6 @@
     static JobSpec trimmed(JobSpec s, ImmutableMap<String, MachineType> types) {
         Optional<ImmutableSet<String>> known =
                 s.types().map(t -> Sets.intersection(t, types.keySet()).immutableCopy());
-        return new JobSpec(
-                s.id(),
-                s.jobClass(),
-                s.team(),
-                s.rank(),
-                s.tasks(),
-                s.task(),
-                known,
-                s.zone(),
-                s.oneZone(),
-                s.spread(),
-                s.spot(),
-                s.image(),
-                s.imageGb(),
-                s.estimateS(),
-                s.checkpointS(),
-                s.saveS(),
-                s.deadlineS());
+        return s.withTypes(known);
     }
 }
--- a/src/main/java/org/spruceridge/api/JobsEndpoint.java
+++ b/src/main/java/org/spruceridge/api/JobsEndpoint.java
@@ -27,6 +27,8 @@
 import org.spruceridge.state.StateClient;
 import org.spruceridge.state.Transaction;
 import org.spruceridge.state.TxnResult;
+import org.spruceridge.upgrade.ClusterLevel;
+import org.spruceridge.upgrade.FeatureLevel;
 
 /** What users ask of any node: submissions, polls and cancellations, each decided by the job's record. */
 public final class JobsEndpoint {
@@ -37,6 +39,8 @@
 
     private final Loop loop;
     private final StateClient state;
+    private final ClusterLevel level;
+    private final int valueBytes;
     private final Admission admission;
     private final Supplier<Optional<ImmutableMap<String, MachineType>>> catalogue;
     private final Function<String, Progress> progress;
@@ -52,6 +56,7 @@
     public JobsEndpoint(
             Loop loop,
             StateClient state,
+            ClusterLevel level,
             Settings settings,
             Supplier<Optional<ImmutableMap<String, MachineType>>> catalogue,
             Function<String, Progress> progress,
@@ -59,6 +64,8 @@
             Cancellations cancellations) {
         this.loop = loop;
         this.state = state;
+        this.level = level;
+        this.valueBytes = settings.state().valueBytes();
         this.admission = new Admission(settings.teams());
         this.catalogue = catalogue;
         this.progress = progress;
@@ -94,7 +101,27 @@
             lookUp(spec.id(), Response.error(422, objection.get()), answer);
             return;
         }
-        accept(Admission.trimmed(spec, types.get()), answer);
+        JobSpec trimmed = Admission.trimmed(spec, types.get());
+        if (spec.isService()) {
+            ifServicesMayBeKept(trimmed, answer);
+        } else {
+            accept(trimmed, answer);
+        }
+    }
+
+    /** Accepts a service unless nodes of an earlier version may still be around, which could not read its record. */
+    private void ifServicesMayBeKept(JobSpec spec, Consumer<Response> answer) {
+        if (level.known().includes(FeatureLevel.SERVICES)) {
+            accept(spec, answer);
+            return;
+        }
+        level.read(Priority.SUBMISSIONS, found -> {
+            if (level.known().includes(FeatureLevel.SERVICES)) {
+                accept(spec, answer);
+            } else {
+                lookUp(spec.id(), Response.later(RETRY_AFTER_S, "the cluster is being upgraded"), answer);
+            }
+        });
     }
 
     /** GET /api/jobs/{id}. */
@@ -117,6 +144,10 @@
 
     private void accept(JobSpec spec, Consumer<Response> answer) {
         JobRecord record = JobRecord.open(spec, loop.wallMillis());
+        if (!record.fits(valueBytes)) {
+            lookUp(spec.id(), tooLarge(), answer);
+            return;
+        }
         Transaction txn = Transaction.builder()
                 .set(Keys.job(spec.id()), 0, record.write())
                 .set(Keys.open(spec.id()), 0, record.write())
@@ -149,7 +180,7 @@
             JobRecord cancelled = record.get().ended(JobRecord.Stage.CANCELLED, loop.wallMillis());
             long stamp = found.value().stamp(); // the marker was written with the record
             Transaction txn = Transaction.builder()
-                    .set(Keys.job(id), stamp, cancelled.write())
+                    .set(Keys.job(id), stamp, cancelled.write(valueBytes))
                     .drop(Keys.open(id), stamp)
                     .build();
             settle(txn, until, answer, result -> {
@@ -178,7 +209,7 @@
                         answer.accept(later());
                     }
                 }
-                case REJECTED -> answer.accept(Response.error(400, "the job is too large to be kept"));
+                case REJECTED -> answer.accept(later()); // of ours, not of the user's: it was measured before
                 default -> answer.accept(later());
             }
         });
@@ -246,6 +277,10 @@
         return Response.later(RETRY_AFTER_S, "the state service does not answer now");
     }
 
+    private static Response tooLarge() {
+        return Response.error(400, "the job is too large to be kept");
+    }
+
     private static Response unknownJob() {
         return Response.error(404, "no such job");
     }
--- a/src/main/java/org/spruceridge/api/Router.java
+++ b/src/main/java/org/spruceridge/api/Router.java
@@ -1,8 +1,10 @@
 package org.spruceridge.api;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.spruceridge.net.Json;
 import org.spruceridge.net.Latencies;
 import org.spruceridge.net.Loop;
@@ -22,6 +24,7 @@
     private final Function<byte[], Response> reports;
     private final Runnable reportsMissed;
     private final BooleanSupplier healthy;
+    private final Supplier<ObjectNode> metrics;
     private final Loop loop;
     private final Latencies latencies;
 
@@ -31,12 +34,14 @@
             Function<byte[], Response> reports,
             Runnable reportsMissed,
             BooleanSupplier healthy,
+            Supplier<ObjectNode> metrics,
             Loop loop,
             Latencies latencies) {
         this.jobs = jobs;
         this.reports = reports;
         this.reportsMissed = reportsMissed;
         this.healthy = healthy;
+        this.metrics = metrics;
         this.loop = loop;
         this.latencies = latencies;
     }
@@ -67,7 +72,7 @@
         } else if (path.equals(HEALTH)) {
             only("GET", request, answer, () -> answer.accept(health()));
         } else if (path.equals("/metrics")) {
-            only("GET", request, answer, () -> answer.accept(Response.of(200, latencies.toJson())));
+            only("GET", request, answer, () -> answer.accept(Response.of(200, metrics.get())));
         } else if (path.equals(JOBS)) {
             only("POST", request, answer, () -> jobs.submit(request.body(), timed(Latencies.Kind.USERS, answer)));
         } else if (path.startsWith(JOBS + "/")) {
--- a/src/main/java/org/spruceridge/autoscaling/Autoscaler.java
+++ b/src/main/java/org/spruceridge/autoscaling/Autoscaler.java
@@ -214,7 +214,7 @@
             return;
         }
         long now = loop.nanos();
-        List<WarmCapacity.Wanted> standingBy = warmCapacity.wanted(cluster, now);
+        List<WarmCapacity.Wanted> standingBy = warmCapacity.wanted(cluster, now, loop.wallMillis());
         ScaleUpPlanner planner = new ScaleUpPlanner(
                 cluster,
                 offer -> refusedUntil.getOrDefault(offer, Long.MIN_VALUE) <= now,
@@ -238,9 +238,10 @@
         for (Machine m : here) {
             planner.addFreed(m, freedWithinBoot(m, now));
         }
-        plan.unplaced().forEach((job, count) -> planner.place(job.spec(), count));
+        plan.unplaced().forEach((job, count) -> planner.place(job.spec(), count, ZoneAllowance.of(job)));
         here.forEach(planner::add); // standing by may count on room that the cycle left free
-        standingBy.forEach(wanted -> planner.place(wanted.example(), wanted.tasks()));
+        standingBy.forEach(wanted ->
+                planner.place(wanted.example(), wanted.tasks(), ZoneAllowance.of(wanted.example(), wanted.tasks())));
         planner.wanted().forEach(this::rent);
         returnIdle(planner.kept(), now);
     }
@@ -260,7 +261,7 @@
         for (Binding b : m.bindings()) {
             double remainingS = b.job().spec().estimateS() - b.elapsedS(now);
             boolean runs = b.phase() == Binding.Phase.RUNNING;
-            if (runs && remainingS < bootS && !b.gone()) {
+            if (runs && b.ends() && remainingS < bootS && !b.gone()) {
                 freed = freed.plus(b.job().spec().task());
             }
         }
--- a/src/main/java/org/spruceridge/autoscaling/ScaleUpPlanner.java
+++ b/src/main/java/org/spruceridge/autoscaling/ScaleUpPlanner.java
@@ -70,16 +70,16 @@
     }
 
     /** Finds room for tasks of a job, asking for machines where there is none. */
-    void place(JobSpec spec, int count) {
+    void place(JobSpec spec, int count, ZoneAllowance zones) {
         int left = count;
         for (Bin bin : bins) {
             if (left == 0) {
                 return;
             }
-            left -= bin.take(spec, left);
+            left -= bin.take(spec, left, zones);
         }
         while (left > 0 && fresh < MOST_NEW) {
-            Optional<MachineKind> offer = cheapest(spec);
+            Optional<MachineKind> offer = cheapest(spec, zones);
             if (offer.isEmpty()) {
                 return;
             }
@@ -89,7 +89,7 @@
             fresh++;
             wanted.merge(offer.get(), 1, Integer::sum);
             perZone.merge(offer.get().zone(), 1, Integer::sum);
-            left -= bin.take(spec, left);
+            left -= bin.take(spec, left, zones);
         }
     }
 
@@ -103,13 +103,16 @@
         return kept;
     }
 
-    private Optional<MachineKind> cheapest(JobSpec spec) {
+    private Optional<MachineKind> cheapest(JobSpec spec, ZoneAllowance zones) {
         List<MachineKind> offers = new ArrayList<>();
         for (MachineType type : cluster.types().values()) {
             if (!spec.task().fitsIn(type.capacity())) {
                 continue;
             }
             for (String zone : type.zones()) {
+                if (zones.left(zone) == 0) {
+                    continue;
+                }
                 for (boolean spot : new boolean[] {true, false}) {
                     MachineKind offer = new MachineKind(type.name(), zone, spot);
                     if (spec.allows(type.name(), zone, spot) && available.test(offer)) {
@@ -141,11 +144,12 @@
             this.machine = machine;
         }
 
-        int take(JobSpec spec, int most) {
+        int take(JobSpec spec, int most, ZoneAllowance zones) {
             if (!spec.task().fitsIn(free) || !spec.allows(offer.type(), offer.zone(), offer.spot())) {
                 return 0;
             }
-            int n = Math.min(most, free.holds(spec.task()));
+            int n = Math.min(Math.min(most, zones.left(offer.zone())), free.holds(spec.task()));
+            zones.take(offer.zone(), n);
             for (int i = 0; i < n; i++) {
                 free = free.minus(spec.task());
             }
--- a/src/main/java/org/spruceridge/autoscaling/WarmCapacity.java
+++ b/src/main/java/org/spruceridge/autoscaling/WarmCapacity.java
@@ -4,21 +4,27 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.spruceridge.cluster.Binding;
 import org.spruceridge.cluster.Cluster;
 import org.spruceridge.cluster.Job;
 import org.spruceridge.cluster.JobSpec;
+import org.spruceridge.cluster.Machine;
 import org.spruceridge.cluster.MachineType;
 import org.spruceridge.config.Settings;
 import org.spruceridge.net.Durations;
 
 /**
- * Capacity kept free for classes whose tasks should start sooner than a machine boots: as much as the class has lately
- * had unfinished at one time.
+ * Capacity kept free for work that should start sooner than a machine boots. For a class of arrays with such an aim: as
+ * much as the class has lately had unfinished at one time. For a class of services, each second without which counts: as
+ * much as was lately submitted within one boot, and what the failure of one machine takes.
  */
 final class WarmCapacity {
     /** How long a peak is remembered, in boot times. */
     private static final double MEMORY_OF_BOOT = 15;
 
+    /** How long a new leader waits to see a class of which there is no job, in boot times. */
+    private static final double UNSEEN_OF_BOOT = 3;
+
     private final Settings settings;
     private final long since;
     private final Map<String, Peak> peaks = new HashMap<>();
@@ -26,6 +32,17 @@
     /** Capacity to be kept free for so many tasks like those of a job. */
     record Wanted(JobSpec example, int tasks) {}
 
+    /** What the jobs of a class ask for now. */
+    private static final class Demand {
+        private JobSpec example;
+        private int tasks;
+
+        void add(JobSpec spec, int count) {
+            example = spec;
+            tasks += count;
+        }
+    }
+
     WarmCapacity(Settings settings, long now) {
         this.settings = settings;
         this.since = now;
@@ -37,8 +54,18 @@
      */
     boolean learning(Cluster cluster, long now) {
         double bootS = bootS(cluster);
-        return settings.objectives().stream().anyMatch(aim -> needsRoom(aim, bootS))
-                && now - since < Durations.nanos(MEMORY_OF_BOOT * bootS);
+        return settings.objectives().stream()
+                .filter(aim -> needsRoom(aim, bootS))
+                .anyMatch(aim -> now - since < Durations.nanos(learningOfBoot(aim.jobClass()) * bootS));
+    }
+
+    /** What services need is known from their jobs, which are on record with the time of their submission. */
+    private double learningOfBoot(String jobClass) {
+        Peak peak = peaks.get(jobClass);
+        if (peak == null || peak.example == null) {
+            return UNSEEN_OF_BOOT;
+        }
+        return peak.example.isService() ? 0 : MEMORY_OF_BOOT;
     }
 
     private static double bootS(Cluster cluster) {
@@ -52,31 +79,65 @@
         return aim.kind().equals("wait") && aim.withinS() < bootS;
     }
 
-    /** For each such class a job of it, and how many of its tasks should find room. */
-    List<Wanted> wanted(Cluster cluster, long now) {
+    /** Jobs of which capacity is kept free, and for how many of their tasks. */
+    List<Wanted> wanted(Cluster cluster, long now, long wallMs) {
         double bootS = bootS(cluster);
-        List<Wanted> wanted = new ArrayList<>();
+        Map<String, Demand> demands = new HashMap<>();
         for (Settings.Objective aim : settings.objectives()) {
-            if (!needsRoom(aim, bootS)) {
-                continue;
+            if (needsRoom(aim, bootS)) {
+                demands.put(aim.jobClass(), new Demand());
             }
-            int unfinished = 0;
-            JobSpec example = null;
-            for (Job job : cluster.jobs()) {
-                if (job.spec().jobClass().equals(aim.jobClass()) && !job.cancelled()) {
-                    unfinished += job.spec().tasks() - job.doneCount();
-                    example = job.spec();
-                }
+        }
+        for (Job job : cluster.jobs()) {
+            if (!job.cancelled()) {
+                add(job, demands, wallMs - bootS * 1000);
             }
-            Peak peak = peaks.computeIfAbsent(aim.jobClass(), c -> new Peak());
-            peak.see(example, unfinished, now, Durations.nanos(MEMORY_OF_BOOT * bootS));
+        }
+        List<Wanted> wanted = new ArrayList<>();
+        demands.forEach((jobClass, demand) -> {
+            Peak peak = peaks.computeIfAbsent(jobClass, c -> new Peak());
+            peak.see(demand.example, demand.tasks, now, Durations.nanos(MEMORY_OF_BOOT * bootS));
             if (peak.example != null) {
                 wanted.add(new Wanted(peak.example, peak.tasks));
             }
-        }
+        });
+        addLossOfOneMachine(cluster, wanted);
         return wanted;
     }
 
+    private static void add(Job job, Map<String, Demand> demands, double recentMs) {
+        JobSpec spec = job.spec();
+        if (spec.isService()) {
+            boolean recent = job.submittedMs() > recentMs;
+            demands.computeIfAbsent(spec.jobClass(), c -> new Demand()).add(spec, recent ? spec.tasks() : 0);
+        } else if (demands.containsKey(spec.jobClass())) {
+            demands.get(spec.jobClass()).add(spec, spec.tasks() - job.doneCount());
+        }
+    }
+
+    /** Room for the replicas on that machine which carries most of them. */
+    private static void addLossOfOneMachine(Cluster cluster, List<Wanted> wanted) {
+        int most = 0;
+        JobSpec example = null;
+        for (Machine machine : cluster.machines()) {
+            int replicas = 0;
+            JobSpec last = null;
+            for (Binding b : machine.bindings()) {
+                if (b.job().spec().isService()) {
+                    replicas++;
+                    last = b.job().spec();
+                }
+            }
+            if (replicas > most) {
+                most = replicas;
+                example = last;
+            }
+        }
+        if (example != null) {
+            wanted.add(new Wanted(example, most));
+        }
+    }
+
     private static final class Peak {
         private JobSpec example;
         private int tasks;
--- a/src/main/java/org/spruceridge/cluster/Binding.java
+++ b/src/main/java/org/spruceridge/cluster/Binding.java
@@ -108,6 +108,11 @@
         halt = why;
     }
 
+    /** True if it can be expected to end: a replica of a service does so only when it is stopped. */
+    public boolean ends() {
+        return !job.spec().isService() || halt() != Halt.NO;
+    }
+
     /** Where the last authoritative report had the task. */
     public Phase phase() {
         return phase;
--- a/src/main/java/org/spruceridge/cluster/Cluster.java
+++ b/src/main/java/org/spruceridge/cluster/Cluster.java
@@ -117,7 +117,7 @@
         if (binding.machine().binding(binding.task()) != binding) {
             return;
         }
-        binding.job().unbind(binding);
+        binding.job().unbind(binding, now);
         binding.machine().unbind(binding, now);
         JobSpec spec = binding.job().spec();
         teamUse.merge(spec.team(), spec.task(), (a, b) -> a.minus(b));
--- a/src/main/java/org/spruceridge/cluster/Job.java
+++ b/src/main/java/org/spruceridge/cluster/Job.java
@@ -21,6 +21,8 @@
     private long cancelledAt = Machine.NEVER;
     private long cancellationHeardAt = Machine.NEVER;
     private long notBefore = Long.MIN_VALUE;
+    private long incompleteSince = Machine.NEVER;
+    private int earlyExits;
 
     /** {@code stamp} is that of the job's record and of its marker, which are written together. */
     public Job(JobSpec spec, long stamp, long submittedMs) {
@@ -106,10 +108,13 @@
         taken.set(binding.task().index());
     }
 
-    void unbind(Binding binding) {
+    void unbind(Binding binding, long now) {
         int index = binding.task().index();
         if (bindings.get(index) == binding) {
             bindings.remove(index);
+            if (waiting() == 0) {
+                incompleteSince = now;
+            }
             if (!done.get(index)) {
                 taken.clear(index);
             }
@@ -132,6 +137,30 @@
         return !bindings.isEmpty() || !done.isEmpty();
     }
 
+    /**
+     * Since when a task of it has been missing after all had been placed, on the steady clock in nanoseconds; {@link
+     * Machine#NEVER} if not all have been placed in this term.
+     */
+    public long incompleteSince() {
+        return incompleteSince;
+    }
+
+    /** Replicas that ended by themselves, each soon after its start, since one last ran for long. */
+    public int earlyExits() {
+        return earlyExits;
+    }
+
+    /** Counts a replica that ended by itself soon after its start. */
+    public void countEarlyExit() {
+        earlyExits++;
+    }
+
+    /** A replica has run for long: what went wrong before says nothing about the job. */
+    public void provenToRun() {
+        earlyExits = 0;
+        faultyOn.clear();
+    }
+
     /** Tasks that a report showed running. */
     public int running() {
         int n = 0;
@@ -148,9 +177,12 @@
         return faultyOn;
     }
 
-    /** Its tasks fail on one machine after another: likely it was submitted with a mistake. */
+    /**
+     * Its tasks fail on one machine after another: likely it was submitted with a mistake. Not so a service of which other
+     * replicas run: then it is the machines.
+     */
     public boolean suspectedFaulty() {
-        return faultyOn.size() >= MACHINES_TO_DOUBT;
+        return faultyOn.size() >= MACHINES_TO_DOUBT && !(spec.isService() && running() > 0);
     }
 
     /** No task of the job is placed before this moment, after errors. */
@@ -165,7 +197,7 @@
 
     /** The moment, in milliseconds of the epoch, at which the job should be complete; infinite if it need not be. */
     public double deadlineMs() {
-        return spec.deadlineS().isPresent()
+        return spec.deadlineS().isPresent() && !spec.isService()
                 ? submittedMs + spec.deadlineS().getAsDouble() * 1000
                 : Double.POSITIVE_INFINITY;
     }
--- a/src/main/java/org/spruceridge/cluster/JobSpec.java
+++ b/src/main/java/org/spruceridge/cluster/JobSpec.java
@@ -9,6 +9,7 @@
         String id,
         String jobClass,
         String team,
+        JobKind kind,
         JobPriority rank,
         int tasks,
         Resources task,
@@ -24,6 +25,11 @@
         double saveS,
         OptionalDouble deadlineS) {
 
+    /** True if its tasks are replicas of a service, which run until the job is cancelled. */
+    public boolean isService() {
+        return kind == JobKind.SERVICE;
+    }
+
     /** True if a stopped task can go on from where it was. */
     public boolean saves() {
         return checkpointS > 0;
@@ -34,6 +40,52 @@
         return spread ? (tasks + 1) / 2 : tasks;
     }
 
+    /** The same job with other allowed types. */
+    public JobSpec withTypes(Optional<ImmutableSet<String>> allowed) {
+        return new JobSpec(
+                id,
+                jobClass,
+                team,
+                kind,
+                rank,
+                tasks,
+                task,
+                allowed,
+                zone,
+                oneZone,
+                spread,
+                spot,
+                image,
+                imageGb,
+                estimateS,
+                checkpointS,
+                saveS,
+                deadlineS);
+    }
+
+    /** The same job with other names for its class and image, which matter to nobody once it has ended. */
+    public JobSpec withNames(String otherClass, String otherImage) {
+        return new JobSpec(
+                id,
+                otherClass,
+                team,
+                kind,
+                rank,
+                tasks,
+                task,
+                types,
+                zone,
+                oneZone,
+                spread,
+                spot,
+                otherImage,
+                imageGb,
+                estimateS,
+                checkpointS,
+                saveS,
+                deadlineS);
+    }
+
     /** True if the job allows this type, zone and kind of machine, its other tasks apart. */
     public boolean allows(String type, String machineZone, boolean spotMachine) {
         return (types.isEmpty() || types.get().contains(type))
--- a/src/main/java/org/spruceridge/cluster/Resources.java
+++ b/src/main/java/org/spruceridge/cluster/Resources.java
@@ -28,6 +28,11 @@
         return cpus <= roomCpus + SLACK && gpus <= roomGpus + SLACK && memGb <= roomMemGb + SLACK;
     }
 
+    /** What so many tasks of this size take together. */
+    public Resources times(int count) {
+        return new Resources(cpus * count, gpus * count, memGb * count);
+    }
+
     /** The smaller of two amounts, each for itself. */
     public Resources least(Resources other) {
         return new Resources(Math.min(cpus, other.cpus), Math.min(gpus, other.gpus), Math.min(memGb, other.memGb));
--- a/src/main/java/org/spruceridge/config/Policy.java
+++ b/src/main/java/org/spruceridge/config/Policy.java
@@ -21,6 +21,7 @@
             double waiting,
             double aging,
             double patience,
+            double availability,
             double thrift,
             double packing) {}
 
@@ -42,7 +43,7 @@
     /** The values that the program starts with. */
     public static Policy defaults() {
         return new Policy(
-                new Weights(15, 40, 8, 5, 40, 2, 3),
+                new Weights(15, 40, 8, 5, 40, 40, 2, 3),
                 new Scheduling(0.1, 10, 0.25, 240),
                 new Stops(60),
                 new Leading(0.5, 8),
@@ -73,13 +74,15 @@
         Weights weights = d.weights;
         if (top.has("weights")) {
             Fields f = top.object("weights");
-            f.onlyThese(ImmutableSet.of("deadline", "overhead", "wait", "aging", "patience", "thrift", "packing"));
+            f.onlyThese(ImmutableSet.of(
+                    "deadline", "overhead", "wait", "aging", "patience", "availability", "thrift", "packing"));
             weights = new Weights(
                     f.atLeastZeroOr("deadline", weights.deadline),
                     f.atLeastZeroOr("overhead", weights.overhead),
                     f.atLeastZeroOr("wait", weights.waiting),
                     f.atLeastZeroOr("aging", weights.aging),
                     f.atLeastZeroOr("patience", weights.patience),
+                    f.atLeastZeroOr("availability", weights.availability),
                     f.atLeastZeroOr("thrift", weights.thrift),
                     f.atLeastZeroOr("packing", weights.packing));
         }
--- a/src/main/java/org/spruceridge/config/Settings.java
+++ b/src/main/java/org/spruceridge/config/Settings.java
@@ -48,14 +48,57 @@
         }
     }
 
-    /** The limits of the state service. */
-    public record State(double rps, double writeRps, double valueKb, int txnOps) {
+    /** What the state service takes: requests and changes a second, kilobytes a value, changes a transaction. */
+    public record StateLimits(double rps, double writeRps, double valueKb, int txnOps) {}
+
+    /**
+     * The limits of the state service: those that hold now, and those that it will have from some moment on, of which
+     * nobody is told. Rates are kept as they are until the service shows the new ones; sizes fit both sets from the start.
+     */
+    public record State(StateLimits now, StateLimits next) {
         /** A transaction's body holds several records, however large one may be. */
         private static final double MOST_RECORD_KB = 8;
 
+        private static final int BYTES_OF_A_KB = 1024;
+
+        /** Below these, not even a page with one machine, or the end of a job with the release of its last task, fits. */
+        private static final double LEAST_VALUE_KB = 1;
+
+        private static final int LEAST_TXN_OPS = 3;
+
+        /** Limits that will not change. */
+        public State(double rps, double writeRps, double valueKb, int txnOps) {
+            this(new StateLimits(rps, writeRps, valueKb, txnOps), new StateLimits(rps, writeRps, valueKb, txnOps));
+        }
+
+        /** How large a value may be, now and later. */
+        public double valueKb() {
+            return Math.min(now.valueKb, next.valueKb);
+        }
+
+        /** The same in bytes. */
+        public int valueBytes() {
+            return (int) (valueKb() * BYTES_OF_A_KB);
+        }
+
+        /** How many changes a transaction may make, now and later. */
+        public int txnOps() {
+            return Math.min(now.txnOps, next.txnOps);
+        }
+
         /** How large our own records become at most. */
         public double recordKb() {
-            return Math.min(valueKb, MOST_RECORD_KB);
+            return Math.min(valueKb(), MOST_RECORD_KB);
+        }
+
+        /** How large records become at most in a version that does not know the limits to come. */
+        public double recordKbOfNow() {
+            return Math.min(now.valueKb, MOST_RECORD_KB);
+        }
+
+        /** True if the service is told to lower its rates, so that a refusal may mean that it has. */
+        public boolean ratesMayFall() {
+            return next.rps < now.rps || next.writeRps < now.writeRps;
         }
     }
 
@@ -92,7 +135,6 @@
         Fields endpoints = top.object("endpoints");
         Fields facts = top.object("facts");
         Fields workers = facts.object("workers");
-        Fields state = facts.object("state");
         Fields cloud = facts.object("cloud");
         Fields resources = facts.object("resources");
         ImmutableMap.Builder<String, Team> teams = ImmutableMap.builder();
@@ -123,11 +165,7 @@
                 teams.build(),
                 facts.has("objectives") ? facts.objects("objectives", Settings::objective) : ImmutableList.of(),
                 periods,
-                new State(
-                        state.positive("rps"),
-                        state.positive("write_rps"),
-                        state.positive("value_kb"),
-                        state.positiveCount("txn_ops")),
+                state(facts.object("state")),
                 new Cloud(cloud.positive("rps"), cloud.atLeastZeroOr("list_lag_s", 0)),
                 new Resources(
                         resources.positive("core_share"),
@@ -136,6 +174,40 @@
                 facts.atLeastZeroOr("time_bound_ms", 0));
     }
 
+    private static State state(Fields f) {
+        StateLimits now = checked(
+                f,
+                new StateLimits(
+                        f.positive("rps"),
+                        f.positive("write_rps"),
+                        f.positive("value_kb"),
+                        f.positiveCount("txn_ops")));
+        if (!f.has("next")) {
+            return new State(now, now);
+        }
+        Fields next = f.object("next");
+        return new State(
+                now,
+                checked(
+                        next,
+                        new StateLimits(
+                                next.positiveOr("rps", now.rps),
+                                next.positiveOr("write_rps", now.writeRps),
+                                next.positiveOr("value_kb", now.valueKb),
+                                next.has("txn_ops") ? next.positiveCount("txn_ops") : now.txnOps)));
+    }
+
+    /** Limits too small for the service's own records end the program: it could not keep its rules under them. */
+    private static StateLimits checked(Fields f, StateLimits limits) {
+        if (limits.valueKb < State.LEAST_VALUE_KB) {
+            throw f.complaint("value_kb", "must be at least " + State.LEAST_VALUE_KB);
+        }
+        if (limits.txnOps < State.LEAST_TXN_OPS) {
+            throw f.complaint("txn_ops", "must be at least " + State.LEAST_TXN_OPS);
+        }
+        return limits;
+    }
+
     private static Team team(Fields f) {
         return new Team(
                 f.text("name"),
--- a/src/main/java/org/spruceridge/leader/Election.java
+++ b/src/main/java/org/spruceridge/leader/Election.java
@@ -23,6 +23,8 @@
 import org.spruceridge.state.StateClient;
 import org.spruceridge.state.Transaction;
 import org.spruceridge.state.TxnResult;
+import org.spruceridge.upgrade.ClusterLevel;
+import org.spruceridge.upgrade.LevelRecord;
 
 /**
  * Elects the leader by one guarded transaction on the state service, and keeps its grant alive. The term that the
@@ -53,6 +55,7 @@
     private final long ttl;
     private final long renewEvery;
     private final Listener listener;
+    private final ClusterLevel level;
     private final CancellationScope scope;
     private Cancellable watch = () -> {};
     private Optional<LeaderRecord> known = Optional.empty();
@@ -67,6 +70,7 @@
     public Election(
             Loop loop,
             StateClient state,
+            ClusterLevel level,
             RandomGenerator random,
             RateLimitedWarnings warnings,
             Settings settings,
@@ -74,6 +78,7 @@
             Listener listener) {
         this.loop = loop;
         this.state = state;
+        this.level = level;
         this.random = random;
         this.warnings = warnings;
         this.hostName = settings.hostName();
@@ -232,29 +237,41 @@
             }
             permit = granted.value();
             validUntil = validity(asked);
-            state.get(Keys.TERM, Priority.RENEWAL, scope.guard(term -> {
-                if (term.kind() == Result.Kind.UNAVAILABLE) {
-                    giveUpCampaign();
-                    return;
+            level.read(Priority.RENEWAL, scope.guard(found -> {
+                if (found.isOk()) {
+                    campaign(leaderStamp, found.value());
+                } else {
+                    giveUpCampaign(); // what the others write could be misread here
                 }
-                long stamp = term.isOk() ? term.value().stamp() : 0;
-                long next = term.isOk() ? term.value().value().path("term").asLong() + 1 : 1;
-                LeaderRecord record = new LeaderRecord(hostName, incarnation, next);
-                Transaction txn = Transaction.builder()
-                        .set(Keys.LEADER, leaderStamp, record.write(), permit)
-                        .set(Keys.TERM, stamp, Json.object().put("term", next))
-                        .build();
-                attempt(txn, record);
             }));
         }));
     }
 
-    private void attempt(Transaction txn, LeaderRecord record) {
+    /** Goes on with a campaign once the cluster feature level is known to be supported. */
+    private void campaign(long leaderStamp, LevelRecord onRecord) {
+        state.get(Keys.TERM, Priority.RENEWAL, scope.guard(term -> {
+            if (term.kind() == Result.Kind.UNAVAILABLE) {
+                giveUpCampaign();
+                return;
+            }
+            long stamp = term.isOk() ? term.value().stamp() : 0;
+            long next = term.isOk() ? term.value().value().path("term").asLong() + 1 : 1;
+            LeaderRecord record = new LeaderRecord(hostName, incarnation, next);
+            Transaction txn = Transaction.builder()
+                    .guard(Keys.FEATURE_LEVEL, onRecord.stamp())
+                    .set(Keys.LEADER, leaderStamp, record.write(), permit)
+                    .set(Keys.TERM, stamp, Json.object().put("term", next))
+                    .build();
+            attempt(txn, record, onRecord);
+        }));
+    }
+
+    private void attempt(Transaction txn, LeaderRecord record, LevelRecord onRecord) {
         state.commit(txn, Priority.RENEWAL, scope.guard(result -> {
             if (result.kind() == TxnResult.Kind.COMMITTED) {
-                win(record, result.revision());
+                win(record, result.revision(), onRecord);
             } else if (result.kind() == TxnResult.Kind.UNKNOWN && loop.nanos() < validUntil) {
-                scope.after(RETRY, () -> attempt(txn, record));
+                scope.after(RETRY, () -> attempt(txn, record, onRecord));
             } else {
                 // Lost, refused, or unknown for too long: what the leader key says decides.
                 giveUpCampaign();
@@ -271,10 +288,10 @@
         again();
     }
 
-    private void win(LeaderRecord record, long stamp) {
+    private void win(LeaderRecord record, long stamp, LevelRecord onRecord) {
         campaigning = false;
         known = Optional.of(record);
-        leaderTerm = new LeaderTerm(record.term(), stamp, loop.nanos());
+        leaderTerm = new LeaderTerm(record.term(), stamp, loop.nanos(), onRecord);
         LOG.info("term {}: this node leads", record.term());
         scope.after(renewEvery, () -> renew(record.term()));
         listener.won(leaderTerm);
--- a/src/main/java/org/spruceridge/leader/Leader.java
+++ b/src/main/java/org/spruceridge/leader/Leader.java
@@ -4,6 +4,7 @@
 import com.google.common.collect.ImmutableSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -21,6 +22,8 @@
 import org.spruceridge.record.BindingsRecord;
 import org.spruceridge.schedule.Matching;
 import org.spruceridge.state.StateClient;
+import org.spruceridge.upgrade.ClusterLevel;
+import org.spruceridge.upgrade.LevelRaiser;
 import org.spruceridge.worker.Order;
 import org.spruceridge.worker.Report;
 import org.spruceridge.worker.WorkerClient;
@@ -43,6 +46,7 @@
     private final SchedulingLoop schedulingLoop;
     private final CommandSender commandSender;
     private final Autoscaler autoscaler;
+    private final LevelRaiser levelRaiser;
     private final LeaderTerm term;
     private final long idleCycle;
     private final Response nothingToDo;
@@ -73,12 +77,17 @@
         }
     }
 
-    /** {@code resign} gives the lead up, with a reason. */
+    /**
+     * {@code everyMemberSupportsLevel} tells whether all members of the settings announced this version's feature level;
+     * {@code resign} gives the lead up, with a reason.
+     */
     public Leader(
             LeaderContext context,
             StateClient state,
             CloudClient cloud,
             WorkerClient workers,
+            ClusterLevel level,
+            BooleanSupplier everyMemberSupportsLevel,
             Consumer<String> resign) {
         this.context = context;
         this.loop = context.loop();
@@ -98,6 +107,14 @@
         this.commandSender = new CommandSender(context, workers, reportHandler, () -> schedulingLoop.request());
         this.watch = new JobWatcher(context, state, recordWriter, commandSender::push, () -> schedulingLoop.request());
         this.takeover = new Takeover(context, state, recordWriter.records());
+        this.levelRaiser = new LevelRaiser(
+                scope,
+                state,
+                level,
+                term.level(),
+                term.leaderStamp(),
+                everyMemberSupportsLevel,
+                recordWriter::levelRaised);
         this.autoscaler = new Autoscaler(
                 loop,
                 scope,
@@ -129,8 +146,10 @@
                         cluster.jobs().size(),
                         cluster.machines().size(),
                         ledFor() / 1_000_000);
+                recordWriter.takenOver();
                 watch.start(revision);
                 autoscaler.start();
+                levelRaiser.start();
                 new StatusLogger(context, recordWriter).start();
                 tick();
             }
--- a/src/main/java/org/spruceridge/leader/PageIndex.java
+++ b/src/main/java/org/spruceridge/leader/PageIndex.java
@@ -21,6 +21,7 @@
     private final Map<T, Page<T>> places = new HashMap<>();
     private final List<Page<T>> pages = new ArrayList<>();
     private final Map<Page<T>, Integer> measured = new HashMap<>();
+    private final Set<Page<T>> oversized = new LinkedHashSet<>();
     private int lastNumber;
 
     /** One record. */
@@ -111,15 +112,48 @@
         return bytes(page) > capacity;
     }
 
-    /** A page, other than its own, that has room for the item: a preferred one, else the first that fits or a new one. */
-    Page<T> withRoomFor(T item, Collection<Page<T>> preferred) {
-        Page<T> own = places.get(item);
+    /** Which item is on which page. */
+    Map<T, Page<T>> placesByItem() {
+        return Map.copyOf(places);
+    }
+
+    /** Finds the pages that hold more than may be written, and that can be split. */
+    void findOversized() {
+        measureAnew();
+        pages.stream().filter(this::canAndMustBeSplit).forEach(oversized::add);
+    }
+
+    private boolean canAndMustBeSplit(Page<T> page) {
+        return page.items.size() > 1 && isOverfull(page);
+    }
+
+    boolean isOversized(Page<T> page) {
+        return oversized.contains(page);
+    }
+
+    /** A page that has to be split before anything else is written on it, or null. */
+    Page<T> oversized() {
+        oversized.removeIf(page -> !canAndMustBeSplit(page));
+        return oversized.isEmpty() ? null : oversized.iterator().next();
+    }
+
+    /** The first of some pages that has room for the item, or null. */
+    Page<T> firstWithRoom(T item, Iterable<Page<T>> among) {
         int most = capacity - bytes.applyAsInt(List.of(item));
-        for (Page<T> page : Iterables.concat(preferred, pages)) {
-            if (page != own && bytes(page) <= most) {
+        for (Page<T> page : among) {
+            if (page != places.get(item) && bytes(page) <= most) {
                 return page;
             }
         }
+        return null;
+    }
+
+    /** A page, other than its own, that has room for the item: a preferred one, else the first that fits or a new one. */
+    Page<T> withRoomFor(T item, Collection<Page<T>> preferred) {
+        Page<T> found = firstWithRoom(item, Iterables.concat(preferred, pages));
+        if (found != null) {
+            return found;
+        }
         Page<T> page = new Page<>(prefix + (++lastNumber), 0);
         pages.add(page);
         return page;
--- a/src/main/java/org/spruceridge/leader/RecordPages.java
+++ b/src/main/java/org/spruceridge/leader/RecordPages.java
@@ -14,6 +14,7 @@
 import org.spruceridge.record.FinishedRecord;
 import org.spruceridge.record.Keys;
 import org.spruceridge.record.PackedValue;
+import org.spruceridge.upgrade.FeatureLevel;
 
 /** The pages that this leader keeps: the bindings of machines, and the finished tasks of unfinished jobs. */
 final class RecordPages {
@@ -22,18 +23,27 @@
     private static final int CHANGES_OF_ENDS = 4;
 
     private final int txnOps;
-    private final int chunkSize;
+    private final int valueBytes;
     private final int pageBytes;
+    /** The size of chunks at the base level, which version 0.1 derives from the present limit alone. */
+    private final int baseChunkSize;
+
+    private final int smallChunkSize;
     private final PageIndex<Machine> bindings;
     private final PageIndex<Chunk> finished;
+    private FeatureLevel level;
 
-    /** A run of a job's tasks whose ends are kept together. */
-    record Chunk(Job job, int number) {}
+    /** A run of a job's tasks whose ends are kept together, by the first of them. */
+    record Chunk(Job job, int first) {}
 
-    RecordPages(Settings.State limits) {
+    /** Pages in the forms of a cluster feature level, within the limits of the state service. */
+    RecordPages(Settings.State limits, FeatureLevel level) {
         this.txnOps = limits.txnOps();
-        this.chunkSize = FinishedRecord.chunkSize(limits.recordKb());
+        this.valueBytes = limits.valueBytes();
+        this.baseChunkSize = FinishedRecord.chunkSize(limits.recordKbOfNow());
+        this.smallChunkSize = FinishedRecord.chunkSize(limits.recordKb());
         this.pageBytes = (int) (limits.recordKb() * 1024);
+        this.level = level;
         int capacity = PackedValue.capacity(limits.recordKb());
         this.bindings = new PageIndex<>(Keys.BINDINGS, capacity, BindingsRecord::bytes);
         this.finished = new PageIndex<>(Keys.FINISHED, capacity, this::bytes);
@@ -53,12 +63,54 @@
         finished.measureAnew();
     }
 
-    int chunkSize() {
-        return chunkSize;
+    private int chunkSize() {
+        return level.includes(FeatureLevel.SERVICES) ? smallChunkSize : baseChunkSize;
     }
 
     Chunk chunkOf(Job job, int index) {
-        return new Chunk(job, index / chunkSize);
+        return new Chunk(job, index / chunkSize() * chunkSize());
+    }
+
+    /** The size of chunks in records of the base level. */
+    int baseChunkSize() {
+        return baseChunkSize;
+    }
+
+    /** Takes over tasks, counted from {@code first}, whose ends a page holds. */
+    void takeFinished(Job job, int first, BitSet tasks, Page<Chunk> page) {
+        for (int i = tasks.nextSetBit(0); i >= 0; i = tasks.nextSetBit(i + 1)) {
+            job.markDone(first + i);
+            finished.put(chunkOf(job, first + i), page);
+        }
+    }
+
+    /** From now on records have the forms of this level. No transaction may be on its way. */
+    void raise(FeatureLevel raised) {
+        Map<Chunk, Page<Chunk>> old = finished.placesByItem();
+        level = raised;
+        old.forEach((chunk, page) -> {
+            finished.remove(chunk);
+            int end = Math.min(chunk.first + baseChunkSize, chunk.job.spec().tasks());
+            for (int first = chunk.first; first < end; first += chunkSize()) {
+                finished.put(chunkOf(chunk.job, first), page);
+            }
+        });
+        finished.findOversized();
+    }
+
+    /** Finds the pages that an earlier version has left larger than may be written from now on. */
+    void findOversized() {
+        bindings.findOversized();
+        finished.findOversized();
+    }
+
+    boolean anyOversized() {
+        return bindings.oversized() != null || finished.oversized() != null;
+    }
+
+    /** How large a value may be, in bytes. */
+    int valueBytes() {
+        return valueBytes;
     }
 
     int txnOps() {
@@ -77,8 +129,8 @@
 
     /** The finished tasks of a job that is over are of no use any more. */
     void forget(Job job) {
-        for (int number = 0; number * chunkSize < job.spec().tasks(); number++) {
-            finished.remove(new Chunk(job, number));
+        for (int first = 0; first < job.spec().tasks(); first += chunkSize()) {
+            finished.remove(new Chunk(job, first));
         }
     }
 
@@ -99,11 +151,13 @@
     ObjectNode finishedPage(String write, Page<Chunk> page, Map<Chunk, BitSet> ending) {
         return FinishedRecord.write(
                 write,
+                level,
+                baseChunkSize,
                 page.items().stream()
                         .map(c -> {
-                            BitSet bits = c.job.done().get(c.number * chunkSize, (c.number + 1) * chunkSize);
+                            BitSet bits = c.job.done().get(c.first, c.first + chunkSize());
                             bits.or(ending.getOrDefault(c, new BitSet()));
-                            return new FinishedRecord.Chunk(c.job.id(), c.number, bits);
+                            return new FinishedRecord.Chunk(c.job.id(), c.first, bits);
                         })
                         .toList());
     }
@@ -111,7 +165,7 @@
     private int bytes(Collection<Chunk> chunks) {
         int sum = 5;
         for (Chunk c : chunks) {
-            int tasks = Math.min(chunkSize, c.job.spec().tasks() - c.number * chunkSize);
+            int tasks = Math.min(chunkSize(), c.job.spec().tasks() - c.first);
             sum += FinishedRecord.bytes(c.job.id(), tasks);
         }
         return sum;
--- a/src/main/java/org/spruceridge/leader/RecordWriter.java
+++ b/src/main/java/org/spruceridge/leader/RecordWriter.java
@@ -20,6 +20,7 @@
 import org.spruceridge.state.Result;
 import org.spruceridge.state.StateClient;
 import org.spruceridge.state.TxnResult;
+import org.spruceridge.upgrade.FeatureLevel;
 
 /**
  * The leader's writes. Bindings, releases and ends gather here and go out in transactions, one at a time: each is made
@@ -63,6 +64,8 @@
 
     private WriteBatch inFlight;
     private boolean waitsForTurn;
+    private boolean levelRaised;
+    private boolean lastSplit;
     private long writes;
 
     /** Writes within the limits of {@code settings}; the listener hears what became of the writes. */
@@ -74,7 +77,8 @@
         this.term = context.term();
         this.listener = listener;
         this.latencies = context.latencies();
-        this.records = new RecordPages(context.settings().state());
+        this.records = new RecordPages(
+                context.settings().state(), context.term().level().level());
     }
 
     /** What is kept on which page. */
@@ -82,15 +86,31 @@
         return records;
     }
 
+    /** The takeover is complete: pages that an earlier version has left too large are split, bit by bit. */
+    void takenOver() {
+        records.findOversized();
+        pump();
+    }
+
+    /** The cluster feature level is that of this version: records may have its forms from now on. */
+    void levelRaised() {
+        levelRaised = true;
+        pump();
+    }
+
     /** Puts a proposed binding, already part of the cluster state, on record. */
     public void bind(Binding binding) {
         waiting.put(binding, Write.BIND);
         pump();
     }
 
-    /** Takes a binding off the record, on proof that its task is gone; {@code done} also records its task as done. */
+    /**
+     * Takes a binding off the record, on proof that its task is gone; {@code done} also records its task as done, unless it
+     * is a replica of a service, which never is.
+     */
     @Override
-    public void release(Binding binding, boolean done) {
+    public void release(Binding binding, boolean completed) {
+        boolean done = completed && !binding.job().spec().isService();
         if (binding.stage() == Binding.Stage.RELEASING && !done) {
             return;
         }
@@ -127,7 +147,7 @@
     }
 
     private void pump() {
-        if (inFlight != null || waitsForTurn || waiting.isEmpty()) {
+        if (inFlight != null || waitsForTurn || (waiting.isEmpty() && !records.anyOversized())) {
             return;
         }
         waitsForTurn = true;
@@ -154,9 +174,20 @@
     }
 
     private WriteBatch compose() {
+        if (levelRaised) {
+            levelRaised = false;
+            records.raise(FeatureLevel.SUPPORTED);
+        }
         WriteBatch batch = new WriteBatch(records, term, "w" + term.term() + "." + (++writes));
-        // Whatever has waited longest chooses the pages. If releases went first, a stream of them would keep
+        // In turns with what waits, which could not be written on such a page once the limits have fallen.
+        lastSplit = (!lastSplit || waiting.isEmpty()) && batch.splitOversized();
+        if (lastSplit) {
+            return batch;
+        }
+        // Services first: they are few, and each second counts. Then whatever has waited longest chooses the pages. If
+        // releases went first, a stream of them would keep
         // proposals on other pages off the record for as long as it lasts.
+        waiting.entrySet().removeIf(e -> e.getKey().job().spec().isService() && take(batch, e.getKey(), e.getValue()));
         waiting.entrySet().removeIf(e -> take(batch, e.getKey(), e.getValue()));
         return batch.isEmpty() ? null : batch;
     }
--- a/src/main/java/org/spruceridge/leader/ReportHandler.java
+++ b/src/main/java/org/spruceridge/leader/ReportHandler.java
@@ -28,6 +28,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(ReportHandler.class);
     /** Jobs that must fail on a machine before the machine is taken for faulty. */
     private static final int FAULTY_JOBS = 2;
+    /** The time for which a service is held back is not doubled more often. */
+    private static final int MOST_DOUBLINGS = 16;
 
     private final Loop loop;
     private final Cluster cluster;
@@ -187,10 +189,15 @@
         LOG.debug("{} ended: {} after {} s", b, cause, ranS);
         Job job = b.job();
         Machine machine = b.machine();
+        if (job.spec().isService() && b.halt() == Binding.Halt.NO) {
+            replicaEnded(job, cause, ranS, now);
+        }
         switch (cause) {
             case DONE -> {
-                machine.failedJobs().clear();
-                job.faultyOn().clear();
+                if (!job.spec().isService()) {
+                    machine.failedJobs().clear();
+                    job.faultyOn().clear();
+                }
             }
             case ERROR -> failed(job, machine, now);
             case NO_ROOM, BUSY, UNKNOWN -> {
@@ -222,6 +229,24 @@
         }
     }
 
+    /** A replica ended by itself. It runs again at once, unless replicas of its service keep ending after a short time. */
+    private void replicaEnded(Job job, Cause cause, double ranS, long now) {
+        if (cause != Cause.DONE && cause != Cause.ERROR) {
+            return;
+        }
+        double longS = settings.workers().leaseS();
+        if (ranS >= longS || job.bindings().stream().anyMatch(other -> other.elapsedS(now) >= longS)) {
+            job.provenToRun();
+            return;
+        }
+        job.countEarlyExit();
+        int beyond = job.earlyExits() - job.spec().tasks();
+        if (beyond > 0) {
+            double backoffS = settings.workers().reportS() * Math.pow(2, Math.min(beyond, MOST_DOUBLINGS));
+            holdBack(job, now, Math.min(backoffS, settings.workers().cancelS()));
+        }
+    }
+
     private static void holdBack(Job job, long now, double seconds) {
         job.notBefore(Math.max(job.notBefore(), now + Durations.nanos(seconds)));
     }
--- a/src/main/java/org/spruceridge/leader/SchedulingLoop.java
+++ b/src/main/java/org/spruceridge/leader/SchedulingLoop.java
@@ -97,6 +97,11 @@
             LOG.info("stopping {} to make room for work of a higher rank", b);
             push.accept(b.machine());
         }
+        for (Binding b : plan.moves()) {
+            b.halt(Binding.Halt.SAVING);
+            LOG.info("stopping {} to move it: its machine is about to be taken away", b);
+            push.accept(b.machine());
+        }
         if (LOG.isDebugEnabled()) {
             LOG.debug(
                     "cycle: {} placed, {} stopped, {} jobs left waiting for room, {} groups, {} us",
--- a/src/main/java/org/spruceridge/leader/Takeover.java
+++ b/src/main/java/org/spruceridge/leader/Takeover.java
@@ -112,11 +112,10 @@
         for (Entry e : finished.entries()) {
             try {
                 PageIndex.Page<RecordPages.Chunk> page = records.finished().recorded(e.key(), e.stamp());
-                for (FinishedRecord.Chunk chunk : FinishedRecord.read(e.value())) {
+                for (FinishedRecord.Chunk chunk : FinishedRecord.read(e.value(), records.baseChunkSize())) {
                     Job job = cluster.job(chunk.job());
                     if (job != null) { // else it has ended, and the next write of the page leaves it out
-                        records.finished().put(new RecordPages.Chunk(job, chunk.number()), page);
-                        chunk.tasks().stream().forEach(i -> job.markDone(chunk.number() * records.chunkSize() + i));
+                        records.takeFinished(job, chunk.first(), chunk.tasks(), page);
                     }
                 }
             } catch (BadMessageException bad) {
--- a/src/main/java/org/spruceridge/leader/WarmUpLeader.java
+++ b/src/main/java/org/spruceridge/leader/WarmUpLeader.java
@@ -12,6 +12,7 @@
 import org.spruceridge.cluster.Binding;
 import org.spruceridge.cluster.Cluster;
 import org.spruceridge.cluster.Job;
+import org.spruceridge.cluster.JobKind;
 import org.spruceridge.cluster.JobPriority;
 import org.spruceridge.cluster.JobSpec;
 import org.spruceridge.cluster.Machine;
@@ -34,6 +35,7 @@
 import org.spruceridge.state.AcceptingState;
 import org.spruceridge.state.Entry;
 import org.spruceridge.state.StateClient;
+import org.spruceridge.upgrade.FeatureLevel;
 import org.spruceridge.worker.Order;
 import org.spruceridge.worker.Report;
 import org.spruceridge.worker.Report.Cause;
@@ -156,6 +158,7 @@
                 "warm-up",
                 settings.teams().keySet().asList().get((int)
                         (number % settings.teams().size())),
+                JobKind.ARRAY,
                 JobPriority.NORMAL,
                 TASKS_OF_A_JOB,
                 new Resources(cpus, 0, cpus),
@@ -201,7 +204,8 @@
     }
 
     private void takeOver() {
-        Takeover takeover = new Takeover(context.with(new Cluster()), state, new RecordPages(settings.state()));
+        Takeover takeover = new Takeover(
+                context.with(new Cluster()), state, new RecordPages(settings.state(), FeatureLevel.SUPPORTED));
         takeover.start(new Takeover.Listener() {
             @Override
             public void jobsKnown(long asOf) {}
--- a/src/main/java/org/spruceridge/leader/WriteBatch.java
+++ b/src/main/java/org/spruceridge/leader/WriteBatch.java
@@ -85,9 +85,46 @@
         unknown = true;
     }
 
+    /** Moves what a page holds too much to other pages, as far as one transaction goes; false if none holds too much. */
+    boolean splitOversized() {
+        Page<Machine> ofBindings = records.bindings().oversized();
+        Page<Chunk> ofFinished = records.finished().oversized();
+        if (ofBindings != null) {
+            split(records.bindings(), ofBindings, bindings);
+        } else if (ofFinished != null) {
+            split(records.finished(), ofFinished, chunks);
+        }
+        return ofBindings != null || ofFinished != null;
+    }
+
+    private <T> void split(PageIndex<T> index, Page<T> from, Set<Page<T>> written) {
+        int mostPages = Math.min(records.txnOps(), records.mostPages());
+        Set<Page<T>> targets = new LinkedHashSet<>();
+        written.add(from);
+        for (T item : List.copyOf(from.items())) {
+            if (!index.isOverfull(from)) {
+                return;
+            }
+            Page<T> to = index.firstWithRoom(item, targets);
+            if (to == null && written.size() < mostPages) {
+                to = index.withRoomFor(item, targets);
+            }
+            if (to == null || from.items().size() == 1) {
+                return;
+            }
+            targets.add(to);
+            written.add(to);
+            index.put(item, to);
+            undo.add(() -> index.put(item, from));
+        }
+    }
+
     /** Takes a release in, unless there is no room for it. */
     boolean release(Binding b, boolean done) {
         Page<Machine> page = records.bindings().of(b.machine());
+        if (page != null && records.bindings().isOversized(page)) {
+            return false; // it is split first
+        }
         Job job = b.job();
         boolean ends = done && !job.cancelled();
         int index = b.task().index();
@@ -95,7 +132,10 @@
         boolean last = ends && job.doneCount() + inBatch == job.spec().tasks();
         Chunk chunk = ends && !last ? records.chunkOf(job, index) : null;
         Page<Chunk> chunkPage = chunk == null ? null : pageOf(chunk);
-        JsonNode end = last && !finished.containsKey(job) ? endOf(job) : null;
+        if (chunkPage != null && records.finished().isOversized(chunkPage)) {
+            return false;
+        }
+        JsonNode end = last && !finished.containsKey(job) ? endOf(job, records.valueBytes()) : null;
         int endBytes = end == null ? 0 : Json.bytes(end).length;
         if (!fits(page, chunkPage, end != null, endBytes, null)) {
             return false;
@@ -108,7 +148,7 @@
         released.put(b, ends);
         if (chunkPage != null) {
             chunks.add(chunkPage);
-            ending.computeIfAbsent(chunk, c -> new BitSet()).set(index % records.chunkSize());
+            ending.computeIfAbsent(chunk, c -> new BitSet()).set(index - chunk.first());
         }
         if (ends) {
             newlyDone.put(job, inBatch);
@@ -124,6 +164,9 @@
     boolean bind(Binding b) {
         Machine machine = b.machine();
         Page<Machine> page = records.bindings().of(machine);
+        if (page != null && records.bindings().isOversized(page)) {
+            return false; // it is split first
+        }
         if (page != null && records.bindings().isOverfull(page)) {
             return moveAndBind(b, page);
         }
@@ -189,8 +232,8 @@
         return fits || isEmpty();
     }
 
-    private static JsonNode endOf(Job job) {
-        return new JobRecord(job.spec(), job.submittedMs(), JobRecord.Stage.DONE, 0).write();
+    private static JsonNode endOf(Job job, int valueBytes) {
+        return new JobRecord(job.spec(), job.submittedMs(), JobRecord.Stage.DONE, 0).write(valueBytes);
     }
 
     Transaction transaction() {
@@ -219,7 +262,9 @@
 
     /** A key that shows whether this transaction was carried out. */
     String mark() {
-        return bindings.iterator().next().key();
+        return bindings.isEmpty()
+                ? chunks.iterator().next().key()
+                : bindings.iterator().next().key();
     }
 
     /** True if this transaction wrote the value of {@link #mark}. */
--- a/src/main/java/org/spruceridge/node/Node.java
+++ b/src/main/java/org/spruceridge/node/Node.java
@@ -1,10 +1,14 @@
 package org.spruceridge.node;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableMap;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.spruceridge.api.Cancellations;
 import org.spruceridge.api.JobsEndpoint;
 import org.spruceridge.api.Router;
@@ -31,16 +35,20 @@
 import org.spruceridge.net.RequestHandler;
 import org.spruceridge.net.Response;
 import org.spruceridge.peer.Heartbeat;
+import org.spruceridge.peer.MemberVersion;
 import org.spruceridge.peer.PeerMonitor;
 import org.spruceridge.peer.PeerTransport;
 import org.spruceridge.record.Keys;
 import org.spruceridge.state.StateClient;
+import org.spruceridge.upgrade.ClusterLevel;
+import org.spruceridge.upgrade.FeatureLevel;
 import org.spruceridge.worker.Order;
 import org.spruceridge.worker.Report;
 import org.spruceridge.worker.WorkerClient;
 
 /** One controller node: its duties, and what it does while it leads. Clocks, randomness and network come in. */
 public final class Node implements Election.Listener {
+    private static final Logger LOG = LoggerFactory.getLogger(Node.class);
     /** The share of the state service's changes that is kept for what users ask of all nodes together. */
     private static final double USERS_SHARE = 0.35;
     /** What is left unused of the limits, for the services' clocks and ours differ. */
@@ -67,6 +75,8 @@
     private final StateClient state;
     private final CloudClient cloud;
     private final WorkerClient workers;
+    private final ClusterLevel level;
+    private final MemberVersion version = MemberVersion.own();
     private final Election election;
     private final PeerMonitor peers;
     private final Router router;
@@ -76,6 +86,7 @@
     private final Map<String, Response> elsewhere = new HashMap<>();
     private final Response nobodyLeads = Response.error(503, "no leader known");
     private Leader leader;
+    private boolean ratesFell;
     private long lastReport;
     private long staysUntil = Long.MIN_VALUE;
 
@@ -96,14 +107,16 @@
         this.cloud = new CloudClient(http, settings.cloudAddress(), cloudLimiter, warnings);
         this.catalogue = new Catalogue(loop, cloud, state, warnings, this::learned);
         this.workers = new WorkerClient(http, warnings);
-        this.election = new Election(loop, state, random, warnings, settings, policy, this);
+        this.level = new ClusterLevel(state);
+        state.onRateExceeded(this::rateExceeded);
+        this.election = new Election(loop, state, level, random, warnings, settings, policy, this);
         this.peers = new PeerMonitor(loop, link, warnings, this::heartbeat, this::cancelled);
         this.warmUp = new LeaderWarmUp(loop, settings, policy);
         this.cancellations = new Cancellations(
                 loop, Durations.nanos(CancellationTimes.of(settings.workers()).maxStalenessS()));
-        JobsEndpoint jobs =
-                new JobsEndpoint(loop, state, settings, catalogue::types, this::progress, warnings, cancellations);
-        this.router = new Router(jobs, this::report, this::reportMissed, this::healthy, loop, latencies);
+        JobsEndpoint jobs = new JobsEndpoint(
+                loop, state, level, settings, catalogue::types, this::progress, warnings, cancellations);
+        this.router = new Router(jobs, this::report, this::reportMissed, this::healthy, this::metrics, loop, latencies);
     }
 
     /** Takes the requests of users, workers and health checks. */
@@ -158,7 +171,7 @@
         warmUp.stop();
         shareLimits(true);
         LeaderContext context = LeaderContext.begin(loop, settings, policy, term, election::leads, warnings, latencies);
-        leader = new Leader(context, state, cloud, workers, election::resign);
+        leader = new Leader(context, state, cloud, workers, level, this::everyMemberSupportsLevel, election::resign);
         catalogue.types().ifPresent(leader::types);
         leader.start();
     }
@@ -180,8 +193,10 @@
 
     private void shareLimits(boolean leading) {
         int nodes = settings.nodeCount();
-        double reads = settings.state().rps() * HEADROOM / nodes;
-        double writes = settings.state().writeRps() * HEADROOM;
+        Settings.StateLimits limits =
+                ratesFell ? settings.state().next() : settings.state().now();
+        double reads = limits.rps() * HEADROOM / nodes;
+        double writes = limits.writeRps() * HEADROOM;
         double usersShare = USERS_SHARE / nodes;
         // A follower has next to nothing of its own to write: an election, the catalogue.
         double ownShare = leading ? 1 - USERS_SHARE : usersShare;
@@ -225,6 +240,30 @@
         return leader.report(report).orElseGet(() -> Response.error(503, "given up"));
     }
 
+    /** The state service refuses what was within its limits: it has those by now that the settings announce. */
+    private void rateExceeded() {
+        if (!ratesFell && settings.state().ratesMayFall()) {
+            ratesFell = true;
+            LOG.info("the state service has lowered its rates");
+            shareLimits(leader != null);
+        }
+    }
+
+    private boolean everyMemberSupportsLevel() {
+        List<String> members =
+                settings.members().stream().map(Settings.Member::hostName).toList();
+        return peers.allSupport(FeatureLevel.SUPPORTED, members);
+    }
+
+    private ObjectNode metrics() {
+        ObjectNode out = latencies.toJson();
+        ObjectNode cluster =
+                out.putObject("cluster").put("featureLevel", level.known().number());
+        ObjectNode versions = cluster.putObject("versions").put(settings.hostName(), version.name());
+        peers.versions().forEach((host, heard) -> versions.put(host, heard.name()));
+        return out;
+    }
+
     /** The leader, if there is fresh word of it: a node cut off from the others must not hold or misguide workers. */
     private Optional<String> steward() {
         return stateServes() ? election.leaderName() : peers.leader();
@@ -260,7 +299,8 @@
                 workersReach(),
                 term,
                 progress.build(),
-                cancellations.recent());
+                cancellations.recent(),
+                version);
     }
 
     /** Another node told a user that this job is cancelled. */
--- a/src/main/java/org/spruceridge/peer/Heartbeat.java
+++ b/src/main/java/org/spruceridge/peer/Heartbeat.java
@@ -13,7 +13,8 @@
  * What a node tells the others about once a second: whether the state service serves it, whether workers reach it, and,
  * from the leader, how far open jobs have come, and which jobs it lately told users to be cancelled. No rule rests on
  * it: it is for display, for the health check, for a leader that workers do not reach, and to have cancelled tasks
- * stopped sooner than the state service tells the leader.
+ * stopped sooner than the state service tells the leader. One rule rests on it after all, and that on what was heard and
+ * never on what was not: a cluster feature level is raised once all members have announced that they support it.
  */
 public record Heartbeat(
         String hostName,
@@ -21,8 +22,12 @@
         boolean workersReach,
         long term,
         ImmutableMap<String, Progress> progress,
-        ImmutableList<String> cancelled) {
-    private static final int FIELDS = 6;
+        ImmutableList<String> cancelled,
+        MemberVersion version) {
+    /** The fields that version 0.1 knows; it ignores those that follow. */
+    private static final int FIELDS_OF_0_1 = 6;
+
+    private static final int FIELDS = FIELDS_OF_0_1 + 2;
     private static final int MOST_JOBS = 5000;
 
     /** Tasks of a job that are done and that run. */
@@ -53,6 +58,8 @@
             for (String id : cancelled) {
                 out.packString(id);
             }
+            out.packInt(version.supports());
+            out.packString(version.name());
             return out.toByteArray();
         } catch (IOException e) {
             throw new java.io.UncheckedIOException(e);
@@ -62,7 +69,8 @@
     /** Reads what {@link #write} wrote; fields that follow are ignored. */
     public static Heartbeat read(byte[] frame) throws BadMessageException {
         try (MessageUnpacker in = MessagePack.newDefaultUnpacker(frame)) {
-            if (in.unpackArrayHeader() < FIELDS) {
+            int fields = in.unpackArrayHeader();
+            if (fields < FIELDS_OF_0_1) {
                 throw new BadMessageException("a heartbeat is too short");
             }
             String host = in.unpackString();
@@ -80,7 +88,9 @@
             for (int i = in.unpackArrayHeader(); i > 0; i--) {
                 cancelled.add(in.unpackString());
             }
-            return new Heartbeat(host, serves, reached, term, progress.buildKeepingLast(), cancelled.build());
+            MemberVersion version =
+                    fields < FIELDS ? MemberVersion.SILENT : new MemberVersion(in.unpackInt(), in.unpackString());
+            return new Heartbeat(host, serves, reached, term, progress.buildKeepingLast(), cancelled.build(), version);
         } catch (IOException | MessagePackException e) {
             throw new BadMessageException("not a heartbeat: " + e.getClass().getSimpleName());
         }
--- a/src/main/java/org/spruceridge/peer/PeerMonitor.java
+++ b/src/main/java/org/spruceridge/peer/PeerMonitor.java
@@ -2,6 +2,8 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSortedMap;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
@@ -15,6 +17,7 @@
 import org.spruceridge.net.Loop;
 import org.spruceridge.net.RateLimitedWarnings;
 import org.spruceridge.peer.Heartbeat.Progress;
+import org.spruceridge.upgrade.FeatureLevel;
 
 /** Sends this node's heartbeat and keeps what the others' last said. */
 public final class PeerMonitor {
@@ -28,7 +31,8 @@
     private final Supplier<Heartbeat> own;
     private final Consumer<String> cancelled;
     private final Map<String, Heard> heard = new HashMap<>();
-    private Heartbeat leader = new Heartbeat("", false, false, 0, ImmutableMap.of(), ImmutableList.of());
+    private Heartbeat leader =
+            new Heartbeat("", false, false, 0, ImmutableMap.of(), ImmutableList.of(), MemberVersion.SILENT);
 
     private record Heard(Heartbeat heartbeat, long at) {}
 
@@ -78,6 +82,20 @@
                 .map(Heartbeat::hostName);
     }
 
+    /** The version that each node announced when it was last heard. */
+    public ImmutableSortedMap<String, MemberVersion> versions() {
+        ImmutableSortedMap.Builder<String, MemberVersion> versions = ImmutableSortedMap.naturalOrder();
+        heard.forEach((host, last) -> versions.put(host, last.heartbeat.version()));
+        return versions.build();
+    }
+
+    /** True if each of these nodes, when it was last heard, announced that it supports the level. */
+    public boolean allSupport(FeatureLevel level, Collection<String> hosts) {
+        return hosts.stream()
+                .allMatch(host -> heard.containsKey(host)
+                        && heard.get(host).heartbeat.version().supports() >= level.number());
+    }
+
     /** True if workers lately reached another node. */
     public boolean anyReached() {
         return anyFresh(Heartbeat::workersReach);
--- a/src/main/java/org/spruceridge/record/JobRecord.java
+++ b/src/main/java/org/spruceridge/record/JobRecord.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Optional;
 import org.spruceridge.cluster.JobSpec;
 import org.spruceridge.net.BadMessageException;
 import org.spruceridge.net.Json;
@@ -11,6 +12,12 @@
  * marker of an open job has the same form.
  */
 public record JobRecord(JobSpec spec, long submittedMs, Stage stage, long endedMs) {
+    /** What the state service may count beside the value itself. */
+    private static final int FRAME_BYTES = 32;
+
+    /** The length to which names are cut. */
+    private static final int CUT_TO = 16;
+
     /** A job's state on record. */
     public enum Stage {
         OPEN("open"),
@@ -34,6 +41,32 @@
         return new JobRecord(spec, submittedMs, end, nowMs);
     }
 
+    /**
+     * True if the record, and the one that it becomes at the end of the job, are within the limit. The latter is a little
+     * longer.
+     */
+    public boolean fits(int valueBytes) {
+        return Json.bytes(ended(Stage.CANCELLED, submittedMs).write()).length + FRAME_BYTES <= valueBytes;
+    }
+
+    /**
+     * The record as JSON, within the limit: of one that was accepted when values could be larger, names that matter to
+     * nobody any more are cut short.
+     */
+    public ObjectNode write(int valueBytes) {
+        if (fits(valueBytes)) {
+            return write();
+        }
+        JobSpec shorter =
+                spec.withNames(cut(spec.jobClass()), cut(spec.image())).withTypes(Optional.empty());
+        return new JobRecord(shorter, submittedMs, stage, endedMs).write();
+    }
+
+    private static String cut(String name) {
+        int most = Math.min(name.codePointCount(0, name.length()), CUT_TO);
+        return name.substring(0, name.offsetByCodePoints(0, most));
+    }
+
     /** Reads the record. */
     public static JobRecord read(JsonNode value) throws BadMessageException {
         Stage stage =
--- a/src/main/java/org/spruceridge/record/Keys.java
+++ b/src/main/java/org/spruceridge/record/Keys.java
@@ -4,6 +4,9 @@
 public final class Keys {
     public static final String LEADER = "leader";
     public static final String TERM = "term";
+    /** The cluster feature level, see {@link org.spruceridge.upgrade.FeatureLevel}. */
+    public static final String FEATURE_LEVEL = "feature-level";
+
     public static final String CATALOGUE = "catalogue";
     public static final String JOBS = "job/";
     public static final String OPEN = "open/";
--- a/src/main/java/org/spruceridge/record/SpecMessage.java
+++ b/src/main/java/org/spruceridge/record/SpecMessage.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.regex.Pattern;
+import org.spruceridge.cluster.JobKind;
 import org.spruceridge.cluster.JobPriority;
 import org.spruceridge.cluster.JobSpec;
 import org.spruceridge.cluster.Resources;
@@ -17,6 +18,8 @@
     private static final Pattern ID = Pattern.compile("j-[0-9]{1,18}");
     private static final int MAX_TASKS = 100_000;
     private static final int MAX_NAME = 200;
+    private static final String ARRAY = "sweep";
+    private static final String SERVICE = "standing";
 
     private SpecMessage() {}
 
@@ -37,9 +40,7 @@
         if (!isId(id)) {
             throw new BadMessageException("nameId is not of the form j-000412");
         }
-        if (!Json.text(body, "shape").equals("sweep")) {
-            throw new BadMessageException("shape is not known");
-        }
+        JobKind kind = kind(Json.text(body, "shape"));
         long tasks = Json.whole(body, "parts");
         if (tasks < 1 || tasks > MAX_TASKS) {
             throw new BadMessageException("parts is out of range");
@@ -51,6 +52,7 @@
                 id,
                 name(body, "lot"),
                 name(body, "crew"),
+                kind,
                 rank(Json.text(body, "rank")),
                 (int) tasks,
                 new Resources(positive(body, "cpus"), notNegative(body, "accelerators"), positive(body, "memGb")),
@@ -61,7 +63,7 @@
                 Json.flag(body, "windfall"),
                 name(body, "bundle"),
                 notNegative(body, "pullGb"),
-                positive(body, "expectS"),
+                kind == JobKind.SERVICE ? zero(body, "expectS") : positive(body, "expectS"),
                 notNegative(body, "markEveryS"),
                 notNegative(body, "markS"),
                 deadline);
@@ -73,7 +75,7 @@
                 .put("nameId", spec.id())
                 .put("lot", spec.jobClass())
                 .put("crew", spec.team())
-                .put("shape", "sweep")
+                .put("shape", spec.isService() ? SERVICE : ARRAY)
                 .put("rank", rank(spec.rank()))
                 .put("parts", spec.tasks())
                 .put("cpus", spec.task().cpus())
@@ -115,6 +117,21 @@
         return text;
     }
 
+    private static JobKind kind(String shape) throws BadMessageException {
+        return switch (shape) {
+            case ARRAY -> JobKind.ARRAY;
+            case SERVICE -> JobKind.SERVICE;
+            default -> throw new BadMessageException("shape is not known: " + shape);
+        };
+    }
+
+    private static double zero(JsonNode body, String field) throws BadMessageException {
+        if (Json.number(body, field) != 0) {
+            throw new BadMessageException(field + " must be 0 for a job that does not end");
+        }
+        return 0;
+    }
+
     private static double positive(JsonNode body, String field) throws BadMessageException {
         double value = Json.number(body, field);
         if (value <= 0) {
--- a/src/main/java/org/spruceridge/schedule/CycleState.java
+++ b/src/main/java/org/spruceridge/schedule/CycleState.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.spruceridge.cluster.Binding;
 import org.spruceridge.cluster.Cluster;
 import org.spruceridge.cluster.Job;
 import org.spruceridge.cluster.JobSpec;
@@ -35,6 +36,7 @@
     private final Map<String, Resources> teamUse = new HashMap<>();
     private final Set<String> reservedTeams = new HashSet<>();
     private final Map<Job, Map<String, Integer>> zones = new HashMap<>();
+    private final Map<Job, Map<Machine, Integer>> replicas = new HashMap<>();
 
     /** {@code mostBindings} is what the record of one machine can hold. */
     CycleState(Cluster cluster, Settings settings, int mostBindings, long now) {
@@ -82,7 +84,7 @@
         Map<Job, WaitingJob> waiting = new LinkedHashMap<>();
         for (Job job : cluster.jobs()) {
             if (job.waiting() > 0 && job.notBefore() <= now) {
-                waiting.put(job, new WaitingJob(Candidate.waiting(job, wallMs), allowedKinds(job.spec())));
+                waiting.put(job, new WaitingJob(Candidate.waiting(job, now, wallMs), allowedKinds(job.spec())));
             }
         }
         return waiting;
@@ -120,9 +122,7 @@
 
     /** True if the job allows the machine's kind and nothing but free capacity can keep its tasks from it. */
     boolean eligible(WaitingJob waiting, MachineCapacity capacity) {
-        return waiting.allows(capacity.kindIndex())
-                && capacity.accepts(waiting.job())
-                && capacity.bindingCount() < mostBindings
+        return mayRunOn(waiting, capacity)
                 && zoneAllowed(waiting.job(), capacity.machine().zone());
     }
 
@@ -142,6 +142,62 @@
         return used;
     }
 
+    /** How many replicas of a service are on a machine. */
+    int replicasOn(Machine machine, Job service) {
+        return replicas(service).getOrDefault(machine, 0);
+    }
+
+    private Map<Machine, Integer> replicas(Job service) {
+        return replicas.computeIfAbsent(service, CycleState::replicasOf);
+    }
+
+    private static Map<Machine, Integer> replicasOf(Job service) {
+        Map<Machine, Integer> counts = new HashMap<>();
+        service.bindings().forEach(b -> counts.merge(b.machine(), 1, Integer::sum));
+        return counts;
+    }
+
+    /** Replicas of services that have to leave their machine, because the cloud takes it away. */
+    List<Binding> leavingReplicas() {
+        List<Binding> leaving = new ArrayList<>();
+        for (Machine machine : cluster.machines()) {
+            if (machine.reclaimAnnounced() && !machine.returning()) {
+                for (Binding b : machine.bindings()) {
+                    boolean there = b.phase() == Binding.Phase.RUNNING || b.phase() == Binding.Phase.SAVING;
+                    if (b.job().spec().isService() && there && !b.job().cancelled()) {
+                        leaving.add(b);
+                    }
+                }
+            }
+        }
+        return leaving;
+    }
+
+    /**
+     * Keeps room for a replica that leaves its machine, where it may run once it has left; false if there is none. Its
+     * team and its zone count it already.
+     */
+    boolean keepRoomFor(Binding leaving) {
+        Job job = leaving.job();
+        WaitingJob replica = new WaitingJob(Candidate.waiting(job, now, 0), allowedKinds(job.spec()));
+        String zone = leaving.machine().zone();
+        for (MachineCapacity capacity : machines) {
+            boolean zoneFits = capacity.machine().zone().equals(zone)
+                    || zoneAllowed(job, capacity.machine().zone());
+            if (zoneFits && capacity.fits(job.spec().task()) && mayRunOn(replica, capacity)) {
+                capacity.take(job.spec().task());
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private boolean mayRunOn(WaitingJob waiting, MachineCapacity capacity) {
+        return waiting.allows(capacity.kindIndex())
+                && capacity.accepts(waiting.job())
+                && capacity.bindingCount() < mostBindings;
+    }
+
     /** How many more tasks of this size the team's limit admits. */
     int teamAdmits(JobSpec spec) {
         Team team = settings.teams().get(spec.team());
@@ -173,6 +229,9 @@
         JobSpec spec = job.spec();
         capacity.take(spec.task());
         teamUse.computeIfPresent(spec.team(), (team, used) -> used.plus(spec.task()));
+        if (spec.isService()) {
+            replicas(job).merge(capacity.machine(), 1, Integer::sum);
+        }
         if (spec.oneZone() || spec.spread()) {
             zones.computeIfAbsent(job, CycleState::zonesOf)
                     .merge(capacity.machine().zone(), 1, Integer::sum);
--- a/src/main/java/org/spruceridge/schedule/GroupCapacity.java
+++ b/src/main/java/org/spruceridge/schedule/GroupCapacity.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Predicate;
 import org.spruceridge.cluster.Resources;
 
 /** The machines of one group that still have room for some waiting task in this cycle. */
@@ -38,12 +39,21 @@
 
     /** The fullest machine that can take a task of the job now, or null. */
     MachineCapacity fullestFor(WaitingJob waiting, CycleState state) {
+        return fullestFor(waiting, state, capacity -> true);
+    }
+
+    /** The same for a replica of a service, among machines with fewer than {@code most} replicas of it. */
+    MachineCapacity fullestFor(WaitingJob service, CycleState state, int most) {
+        return fullestFor(service, state, capacity -> state.replicasOn(capacity.machine(), service.job()) < most);
+    }
+
+    private MachineCapacity fullestFor(WaitingJob waiting, CycleState state, Predicate<MachineCapacity> admits) {
         Resources task = waiting.job().spec().task();
         MachineCapacity best = null;
         for (MachineCapacity capacity : open) {
             boolean fuller =
                     best == null || capacity.free().cpus() < best.free().cpus();
-            if (fuller && capacity.fits(task) && state.eligible(waiting, capacity)) {
+            if (fuller && capacity.fits(task) && state.eligible(waiting, capacity) && admits.test(capacity)) {
                 best = capacity;
             }
         }
--- a/src/main/java/org/spruceridge/schedule/MachineCapacity.java
+++ b/src/main/java/org/spruceridge/schedule/MachineCapacity.java
@@ -103,7 +103,7 @@
     private List<Departure> departures(Estimates estimates, long now) {
         List<Departure> leaving = new ArrayList<>(machine.bindings().size());
         for (Binding b : machine.bindings()) {
-            if (!b.gone()) {
+            if (!b.gone() && b.ends()) {
                 double remainingS = estimates.remainingS(b.job().spec().estimateS(), b.elapsedS(now));
                 leaving.add(new Departure(remainingS, b.job().spec().task()));
             }
--- a/src/main/java/org/spruceridge/schedule/Plan.java
+++ b/src/main/java/org/spruceridge/schedule/Plan.java
@@ -9,12 +9,15 @@
 /**
  * What a cycle decided.
  *
- * @param columns how many machine groups the matrix had, which is what a cycle costs
+ * @param stops tasks to be stopped for waiting ones
+ * @param moves replicas to be stopped where they are, for which there is room elsewhere
  * @param unplaced tasks of each job for which only room was lacking, the most urgent job first
+ * @param groups how many machine groups the matrix had, which is what a cycle costs
  */
 public record Plan(
         ImmutableList<Placement> placements,
         ImmutableList<Binding> stops,
+        ImmutableList<Binding> moves,
         ImmutableMap<Job, Integer> unplaced,
         int groups) {
 
--- a/src/main/java/org/spruceridge/schedule/PreemptionSite.java
+++ b/src/main/java/org/spruceridge/schedule/PreemptionSite.java
@@ -48,9 +48,12 @@
         return found;
     }
 
-    /** What stopping the task throws away: the time it takes to save, or all that it has run. */
+    /** What stopping the task throws away: the time it takes to save, or all that it has run. Services are stopped last. */
     private static double lossS(Binding b, long now) {
         JobSpec spec = b.job().spec();
+        if (spec.isService()) {
+            return Double.POSITIVE_INFINITY;
+        }
         return spec.saves() ? spec.saveS() : b.elapsedS(now);
     }
 
--- a/src/main/java/org/spruceridge/schedule/PriorityMatrix.java
+++ b/src/main/java/org/spruceridge/schedule/PriorityMatrix.java
@@ -29,6 +29,7 @@
                 new Term(new Wait(), weights.waiting()),
                 new Term(new Aging(), weights.aging()),
                 new Term(new StarvationPrevention(beginWithinS), weights.patience()),
+                new Term(new Availability(estimates.floorS()), weights.availability()),
                 new Term(new MachinePrice(), weights.thrift()),
                 new Term(new Packing(), weights.packing()));
         this.jobTerms = select(terms, false);
--- a/src/main/java/org/spruceridge/schedule/SchedulingCycle.java
+++ b/src/main/java/org/spruceridge/schedule/SchedulingCycle.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.spruceridge.cluster.Binding;
 import org.spruceridge.cluster.Job;
 import org.spruceridge.cluster.Resources;
 import org.spruceridge.config.Policy;
@@ -42,8 +43,9 @@
     }
 
     Plan run() {
+        ImmutableList<Binding> moves = moves();
         if (waitingJobs.isEmpty()) {
-            return new Plan(ImmutableList.of(), ImmutableList.of(), ImmutableMap.of(), groups.size());
+            return new Plan(ImmutableList.of(), ImmutableList.of(), moves, ImmutableMap.of(), groups.size());
         }
         Resources smallestTask = smallestTask();
         groups.values().forEach(group -> group.dropFull(smallestTask));
@@ -52,12 +54,16 @@
             WaitingJob waiting = waitingJobs.get(entry.candidate().job());
             if (waiting.firstVisit()) {
                 reservations.reserveFor(waiting);
+                if (waiting.job().spec().isService()) {
+                    placeReplicas(waiting, entries, smallestTask);
+                }
             }
             placeIn(groups.get(entry.group()), waiting, smallestTask);
         }
         return new Plan(
                 ImmutableList.copyOf(placements),
                 ImmutableList.copyOf(preemption.stopsFor(pressing(entries))),
+                moves,
                 unplaced(),
                 groups.size());
     }
@@ -81,6 +87,54 @@
         return entries;
     }
 
+    /**
+     * Replicas to be stopped because their machine is about to be taken away: those for which there is room elsewhere. The
+     * room is kept in each cycle until the replica is gone and is placed like any that is missing.
+     */
+    private ImmutableList<Binding> moves() {
+        ImmutableList.Builder<Binding> moves = ImmutableList.builder();
+        for (Binding leaving : state.leavingReplicas()) {
+            if (state.keepRoomFor(leaving) && leaving.halt() == Binding.Halt.NO) {
+                moves.add(leaving);
+            }
+        }
+        return moves.build();
+    }
+
+    /**
+     * Binds the replicas of a service, by the order of its entries, and spreads them over machines so that the failure of
+     * one takes few: a machine gets a second one only when no other can take it. All entries of a service come before
+     * those of jobs that it outscores, so that the walk would bind the same number.
+     */
+    private void placeReplicas(WaitingJob service, List<Entry> entries, Resources smallestTask) {
+        List<GroupCapacity> ranked = entries.stream()
+                .filter(entry -> entry.candidate().job() == service.job())
+                .map(entry -> groups.get(entry.group()))
+                .toList();
+        int tasks = service.job().spec().tasks();
+        for (int most = 1; mayPlace(service) && most < 2 * tasks; most *= 2) {
+            for (GroupCapacity group : ranked) {
+                placeReplicasIn(group, service, most);
+                group.dropFull(smallestTask);
+            }
+        }
+    }
+
+    private void placeReplicasIn(GroupCapacity group, WaitingJob service, int most) {
+        while (mayPlace(service)) {
+            MachineCapacity fullest = group.fullestFor(service, state, most);
+            if (fullest == null) {
+                return;
+            }
+            place(service, fullest);
+        }
+    }
+
+    private void place(WaitingJob waiting, MachineCapacity capacity) {
+        state.place(waiting.job(), capacity);
+        placements.add(new Placement(waiting.job(), waiting.takeNext(), capacity.machine()));
+    }
+
     /** Binds what the machines of one group take, always on the fullest that still has room. */
     private void placeIn(GroupCapacity group, WaitingJob waiting, Resources smallestTask) {
         Job job = waiting.job();
@@ -91,8 +145,7 @@
             }
             // It stays the fullest until no more of these tasks fit.
             while (mayPlace(waiting) && fullest.fits(job.spec().task()) && state.eligible(waiting, fullest)) {
-                state.place(job, fullest);
-                placements.add(new Placement(job, waiting.takeNext(), fullest.machine()));
+                place(waiting, fullest);
             }
             group.dropFull(smallestTask);
         }
@@ -102,12 +155,13 @@
         return waiting.remaining() > 0 && state.teamAdmits(waiting.job().spec()) > 0;
     }
 
-    /** Jobs with tasks left that can still meet their deadline if they begin now, the best score first. */
+    /** Services that miss replicas, and jobs that can still meet their deadline if they begin now, the best score first. */
     private List<WaitingJob> pressing(List<Entry> entries) {
         Map<Job, WaitingJob> pressing = new LinkedHashMap<>();
         for (Entry entry : entries) {
             WaitingJob waiting = waitingJobs.get(entry.candidate().job());
-            if (entry.urgency() > 0 && entry.urgency() < 1 && waiting.remaining() > 0) {
+            boolean presses = waiting.job().spec().isService() || (entry.urgency() > 0 && entry.urgency() < 1);
+            if (presses && waiting.remaining() > 0) {
                 pressing.putIfAbsent(waiting.job(), waiting);
             }
         }
--- a/src/main/java/org/spruceridge/state/Result.java
+++ b/src/main/java/org/spruceridge/state/Result.java
@@ -10,7 +10,9 @@
         /** The revision asked for is too old. */
         TOO_OLD,
         /** Refused, or no answer: nothing is known. */
-        UNAVAILABLE
+        UNAVAILABLE,
+        /** There is a value, which this version does not understand. */
+        INVALID
     }
 
     /** The request was carried out. */
--- a/src/main/java/org/spruceridge/state/StateClient.java
+++ b/src/main/java/org/spruceridge/state/StateClient.java
@@ -26,6 +26,7 @@
 public final class StateClient {
     private static final Logger LOG = LoggerFactory.getLogger(StateClient.class);
     private static final int PAGE = 500;
+    private static final int TOO_MANY_REQUESTS = 429;
     /** Responses usually take under 10 ms and occasionally a few hundred. */
     private static final long PATIENCE = Durations.millis(1000);
     /** A watch may answer this much after the time that it was asked to wait. */
@@ -37,6 +38,7 @@
     private final RateLimiter limiter;
     private final RateLimitedWarnings warnings;
     private final Latencies latencies;
+    private Runnable rateExceeded = () -> {};
     private long lastServed;
     private boolean everServed;
 
@@ -57,6 +59,11 @@
         this.lastServed = loop.nanos();
     }
 
+    /** {@code listener} runs whenever the service says that it was asked for more than its limits. */
+    public void onRateExceeded(Runnable listener) {
+        rateExceeded = listener;
+    }
+
     /** Nanoseconds since the service last carried out or judged a request of ours. */
     public long sinceServed() {
         return loop.nanos() - lastServed;
@@ -239,6 +246,9 @@
                 lastServed = loop.nanos();
                 everServed = true;
             }
+            if (answer.status() == TOO_MANY_REQUESTS) {
+                rateExceeded.run();
+            }
             done.accept(answer);
         };
     }
@@ -274,7 +284,7 @@
                 case 400:
                     boolean noGrant = new String(answer.body()).contains("no such lease");
                     return TxnResult.of(noGrant ? TxnResult.Kind.NO_GRANT : TxnResult.Kind.REJECTED);
-                case 429, 503:
+                case TOO_MANY_REQUESTS, 503:
                     return TxnResult.of(TxnResult.Kind.REFUSED);
                 default:
                     return TxnResult.of(TxnResult.Kind.UNKNOWN);
--- /dev/null
+++ b/src/main/java/org/spruceridge/upgrade/ClusterLevel.java
@@ -0,0 +1,64 @@
+package org.spruceridge.upgrade;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.spruceridge.net.BadMessageException;
+import org.spruceridge.net.RateLimiter.Priority;
+import org.spruceridge.record.Keys;
+import org.spruceridge.state.Result;
+import org.spruceridge.state.StateClient;
+
+/** What this node knows of the cluster feature level. */
+public final class ClusterLevel {
+    private static final Logger LOG = LoggerFactory.getLogger(ClusterLevel.class);
+
+    private final StateClient state;
+    private FeatureLevel known = FeatureLevel.BASE;
+
+    /** The level is read from {@code state}. */
+    public ClusterLevel(StateClient state) {
+        this.state = state;
+    }
+
+    /** The highest level that was found on record so far; as levels are never lowered, it holds. */
+    public FeatureLevel known() {
+        return known;
+    }
+
+    /**
+     * Reads the record. INVALID means that it cannot be understood: a newer version wrote it, or it is damaged, and this
+     * node must neither lead nor guess.
+     */
+    public void read(Priority priority, Consumer<Result<LevelRecord>> done) {
+        state.get(Keys.FEATURE_LEVEL, priority, found -> {
+            if (found.kind() == Result.Kind.UNAVAILABLE) {
+                done.accept(Result.failed(Result.Kind.UNAVAILABLE));
+            } else if (found.isOk()) {
+                done.accept(understand(found.value().value(), found.value().stamp()));
+            } else {
+                done.accept(Result.ok(new LevelRecord(FeatureLevel.BASE, 0)));
+            }
+        });
+    }
+
+    private Result<LevelRecord> understand(JsonNode value, long stamp) {
+        try {
+            FeatureLevel level = FeatureLevel.read(value);
+            raised(level);
+            return Result.ok(new LevelRecord(level, stamp));
+        } catch (BadMessageException e) {
+            LOG.error("the record {} cannot be used: {}", Keys.FEATURE_LEVEL, e.getMessage());
+            return Result.failed(Result.Kind.INVALID);
+        }
+    }
+
+    /** This level is on record. */
+    void raised(FeatureLevel level) {
+        if (!known.includes(level)) {
+            LOG.info("cluster feature level {}", level.number());
+            known = level;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/spruceridge/upgrade/LevelRaiser.java
@@ -0,0 +1,92 @@
+package org.spruceridge.upgrade;
+
+import java.util.function.BooleanSupplier;
+import org.spruceridge.net.CancellationScope;
+import org.spruceridge.net.Durations;
+import org.spruceridge.net.RateLimiter.Priority;
+import org.spruceridge.record.Keys;
+import org.spruceridge.state.Result;
+import org.spruceridge.state.StateClient;
+import org.spruceridge.state.Transaction;
+import org.spruceridge.state.TxnResult;
+
+/**
+ * A leader's duty: raises the cluster feature level once every member of the settings has announced that it supports
+ * the next. The transaction is guarded by the leader key, so that only the present leader raises it, and by the stamp of
+ * the level, so that a late copy of it changes nothing.
+ */
+public final class LevelRaiser {
+    private static final long LOOK_AGAIN = Durations.millis(500);
+
+    private final CancellationScope scope;
+    private final StateClient state;
+    private final ClusterLevel level;
+    private final BooleanSupplier everyMemberSupports;
+    private final long leaderStamp;
+    private final Runnable raised;
+    private LevelRecord onRecord;
+
+    /**
+     * {@code onRecord} is the level that the election found; {@code everyMemberSupports} tells whether all members were
+     * heard with {@link FeatureLevel#SUPPORTED}; {@code raised} runs once the level is on record.
+     */
+    public LevelRaiser(
+            CancellationScope scope,
+            StateClient state,
+            ClusterLevel level,
+            LevelRecord onRecord,
+            long leaderStamp,
+            BooleanSupplier everyMemberSupports,
+            Runnable raised) {
+        this.scope = scope;
+        this.state = state;
+        this.level = level;
+        this.onRecord = onRecord;
+        this.leaderStamp = leaderStamp;
+        this.everyMemberSupports = everyMemberSupports;
+        this.raised = raised;
+    }
+
+    /** Begins to look for the moment. */
+    public void start() {
+        if (onRecord.level().includes(FeatureLevel.SUPPORTED)) {
+            return;
+        }
+        if (everyMemberSupports.getAsBoolean()) {
+            raise();
+        } else {
+            scope.after(LOOK_AGAIN, this::start);
+        }
+    }
+
+    private void raise() {
+        Transaction txn = Transaction.builder()
+                .guard(Keys.LEADER, leaderStamp)
+                .set(Keys.FEATURE_LEVEL, onRecord.stamp(), FeatureLevel.SUPPORTED.write())
+                .build();
+        state.commit(txn, Priority.DECISIONS, scope.guard(result -> {
+            if (result.kind() == TxnResult.Kind.COMMITTED) {
+                onRecord = new LevelRecord(FeatureLevel.SUPPORTED, result.revision());
+                level.raised(FeatureLevel.SUPPORTED);
+                raised.run();
+            } else {
+                scope.after(LOOK_AGAIN, this::readAgain);
+            }
+        }));
+    }
+
+    /** Refused, or unknown and perhaps carried out: the record tells. */
+    private void readAgain() {
+        level.read(Priority.DECISIONS, scope.guard(found -> {
+            if (found.isOk()) {
+                onRecord = found.value();
+                if (onRecord.level().includes(FeatureLevel.SUPPORTED)) {
+                    raised.run();
+                }
+            }
+            if (found.kind() != Result.Kind.INVALID) {
+                start();
+            }
+        }));
+    }
+}
--- a/src/test/java/org/spruceridge/leader/WriteBatchTest.java
+++ b/src/test/java/org/spruceridge/leader/WriteBatchTest.java
@@ -27,6 +27,7 @@
 import org.spruceridge.net.Json;
 import org.spruceridge.record.BindingsRecord;
 import org.spruceridge.sim.Fixtures;
+import org.spruceridge.upgrade.FeatureLevel;
 
 /** What goes into a transaction, and that it stays within the state service's limits at the size of a fleet. */
 final class WriteBatchTest {
@@ -34,7 +35,7 @@
     private static final long ATTEMPT = 9L << 24;
 
     private final Cluster cluster = new Cluster();
-    private RecordPages records = new RecordPages(LIMITS);
+    private RecordPages records = new RecordPages(LIMITS, FeatureLevel.SUPPORTED);
     private final LeaderTerm term = new LeaderTerm(9, 1, 0);
     private int writes;
 
@@ -80,7 +81,7 @@
     void theFleetsPictureGoesIntoAFewTransactionsWithinAllLimits(int machines, double valueKb, int txnOps)
             throws BadMessageException {
         Settings.State limits = new Settings.State(200, 50, valueKb, txnOps);
-        records = new RecordPages(limits);
+        records = new RecordPages(limits, FeatureLevel.SUPPORTED);
         Deque<Binding> waiting = new ArrayDeque<>();
         List<Job> jobs = new ArrayList<>();
         for (int i = 0; i < 60; i++) {
--- a/src/test/java/org/spruceridge/peer/HeartbeatTest.java
+++ b/src/test/java/org/spruceridge/peer/HeartbeatTest.java
@@ -13,7 +13,13 @@
 /** What goes between nodes comes out as it went in, and nothing else is taken for it. */
 final class HeartbeatTest {
     private final Heartbeat heartbeat = new Heartbeat(
-            "n0", true, false, 7, ImmutableMap.of("j-000001", new Progress(3, 4)), ImmutableList.of("j-000002"));
+            "n0",
+            true,
+            false,
+            7,
+            ImmutableMap.of("j-000001", new Progress(3, 4)),
+            ImmutableList.of("j-000002"),
+            new MemberVersion(2, "0.2.0"));
 
     @Test
     void aBeaconIsReadAsItWasWritten() throws BadMessageException {
--- a/src/test/java/org/spruceridge/schedule/MatchingTest.java
+++ b/src/test/java/org/spruceridge/schedule/MatchingTest.java
@@ -14,6 +14,7 @@
 import org.spruceridge.cluster.Binding;
 import org.spruceridge.cluster.Cluster;
 import org.spruceridge.cluster.Job;
+import org.spruceridge.cluster.JobKind;
 import org.spruceridge.cluster.JobPriority;
 import org.spruceridge.cluster.JobSpec;
 import org.spruceridge.cluster.Machine;
@@ -68,6 +69,7 @@
         private boolean spread;
         private boolean spot = true;
         private double estimateS = 30;
+        private JobKind kind = JobKind.ARRAY;
         private double checkpointS;
         private OptionalDouble deadlineS = OptionalDouble.empty();
 
@@ -77,6 +79,7 @@
                             "j-" + (++jobs),
                             "c",
                             team,
+                            kind,
                             rank,
                             tasks,
                             new Resources(cpus, 0, 1),
--- a/src/test/java/org/spruceridge/schedule/PlainWalkTest.java
+++ b/src/test/java/org/spruceridge/schedule/PlainWalkTest.java
@@ -19,6 +19,7 @@
 import org.spruceridge.cluster.Binding;
 import org.spruceridge.cluster.Cluster;
 import org.spruceridge.cluster.Job;
+import org.spruceridge.cluster.JobKind;
 import org.spruceridge.cluster.JobPriority;
 import org.spruceridge.cluster.JobSpec;
 import org.spruceridge.cluster.Machine;
@@ -55,6 +56,7 @@
                         String.format("j-%06d", jobs.size()),
                         "c",
                         random.nextInt(3) == 0 ? "blue" : "red",
+                        JobKind.ARRAY,
                         JobPriority.NORMAL,
                         tasks,
                         new Resources(cpus, 0, 1),
--- a/src/test/java/org/spruceridge/sim/Fixtures.java
+++ b/src/test/java/org/spruceridge/sim/Fixtures.java
@@ -4,6 +4,7 @@
 import com.google.common.collect.ImmutableMap;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import org.spruceridge.cluster.JobKind;
 import org.spruceridge.cluster.JobPriority;
 import org.spruceridge.cluster.JobSpec;
 import org.spruceridge.cluster.Resources;
@@ -54,6 +55,7 @@
                 id,
                 "c",
                 "red",
+                JobKind.ARRAY,
                 priority,
                 tasks,
                 task,
