--- a/src/main/java/org/spruceridge/peer/PeerMonitor.java
+++ b/src/main/java/org/spruceridge/peer/PeerMonitor.java
@@ -89,11 +89,18 @@
         return versions.build();
     }
 
-    /** True if each of these nodes, when it was last heard, announced that it supports the level. */
+    /**
+     * True if each of these nodes was heard a moment ago and announced that it supports the level. One that is silent may
+     * be coming back with an earlier version.
+     */
     public boolean allSupport(FeatureLevel level, Collection<String> hosts) {
-        return hosts.stream()
-                .allMatch(host -> heard.containsKey(host)
-                        && heard.get(host).heartbeat.version().supports() >= level.number());
+        return hosts.stream().allMatch(host -> supports(heard.get(host), level));
+    }
+
+    private boolean supports(Heard last, FeatureLevel level) {
+        return last != null
+                && loop.nanos() - last.at < FRESH
+                && last.heartbeat.version().supports() >= level.number();
     }
 
     /** True if workers lately reached another node. */
--- a/src/main/java/org/spruceridge/upgrade/ClusterLevel.java
+++ b/src/main/java/org/spruceridge/upgrade/ClusterLevel.java
@@ -16,6 +16,7 @@
 
     private final StateClient state;
     private FeatureLevel known = FeatureLevel.BASE;
+    private String lastComplaint = "";
 
     /** The level is read from {@code state}. */
     public ClusterLevel(StateClient state) {
@@ -49,11 +50,19 @@
             raised(level);
             return Result.ok(new LevelRecord(level, stamp));
         } catch (BadMessageException e) {
-            LOG.error("the record {} cannot be used: {}", Keys.FEATURE_LEVEL, e.getMessage());
+            complain(e.getMessage());
             return Result.failed(Result.Kind.INVALID);
         }
     }
 
+    /** Once for each record: elections read it again and again. */
+    private void complain(String complaint) {
+        if (!complaint.equals(lastComplaint)) {
+            lastComplaint = complaint;
+            LOG.error("the record {} cannot be used, so this node does not lead: {}", Keys.FEATURE_LEVEL, complaint);
+        }
+    }
+
     /** This level is on record. */
     void raised(FeatureLevel level) {
         if (!known.includes(level)) {
--- a/src/test/java/org/spruceridge/sim/Limit.java
+++ b/src/test/java/org/spruceridge/sim/Limit.java
@@ -21,6 +21,11 @@
         this.at = clock.getAsLong();
     }
 
+    /** True if so many may be taken now. */
+    boolean allows(int count) {
+        return Math.min(burst, left + Durations.seconds(clock.getAsLong() - at) * perS) >= count;
+    }
+
     void take(int count) {
         long now = clock.getAsLong();
         left = Math.min(burst, left + Durations.seconds(now - at) * perS) - count;
--- a/src/test/java/org/spruceridge/sim/RuleChecker.java
+++ b/src/test/java/org/spruceridge/sim/RuleChecker.java
@@ -47,6 +47,10 @@
         throw new AssertionError(rule + ": " + what);
     }
 
+    static boolean isService(ObjectNode job) {
+        return job.path("shape").asText().equals("standing");
+    }
+
     private static String jobOf(String part) {
         return part.split("/")[0];
     }
@@ -79,6 +83,9 @@
         if (stage.equals("cancelled") && !asked.contains(id)) {
             broken("went_back", id + " is cancelled, which nobody asked for");
         }
+        if (stage.equals("done") && isService(submitted.get(id))) {
+            broken("not_done", id + " is a service");
+        }
         if (stage.equals("done")
                 && tasksCompleted(id) < submitted.get(id).path("parts").asInt()) {
             broken("not_done", id);
@@ -152,17 +159,25 @@
         for (String id : unfinished()) {
             broken("left waiting", id + " has " + tasksCompleted(id) + " tasks complete");
         }
-        if (!places.isEmpty()) {
-            broken("left running", places.keySet().toString());
+        List<String> left = leftRunning();
+        if (!left.isEmpty()) {
+            broken("left running", left.toString());
         }
     }
 
-    /** Accepted jobs, not cancelled, of which a task is not complete. */
+    /** Tasks on machines that should not be there in the end: those of services that were not cancelled should. */
+    private List<String> leftRunning() {
+        return places.keySet().stream()
+                .filter(part -> cancelled.containsKey(jobOf(part)) || !isService(submitted.get(jobOf(part))))
+                .toList();
+    }
+
+    /** Accepted jobs, not cancelled, of which a task is not complete; of services, of which a replica does not run. */
     private List<String> unfinished() {
         return accepted.stream()
                 .filter(id -> !cancelled.containsKey(id))
-                .filter(id ->
-                        tasksCompleted(id) < submitted.get(id).path("parts").asInt())
+                .filter(id -> (isService(submitted.get(id)) ? tasksThere(id) : tasksCompleted(id))
+                        < submitted.get(id).path("parts").asInt())
                 .toList();
     }
 
@@ -208,7 +223,7 @@
     }
 
     boolean allOver() {
-        return places.isEmpty() && unfinished().isEmpty();
+        return leftRunning().isEmpty() && unfinished().isEmpty();
     }
 
     private long tasksCompleted(String id) {
--- /dev/null
+++ b/src/test/java/org/spruceridge/sim/SimNode.java
@@ -0,0 +1,55 @@
+package org.spruceridge.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import org.spruceridge.config.Policy;
+import org.spruceridge.config.Settings;
+import org.spruceridge.net.HttpClient;
+import org.spruceridge.net.Loop;
+import org.spruceridge.net.Request;
+import org.spruceridge.net.Response;
+import org.spruceridge.node.Node;
+import org.spruceridge.peer.PeerTransport;
+
+/** A controller node of any version, as the stand-ins see it. */
+interface SimNode {
+    /** Begins all duties; {@code ready} runs once the node knows where workers belong. */
+    void start(Runnable ready);
+
+    /** True while it may act as leader. */
+    boolean leads();
+
+    /** Takes a request. */
+    void handle(Request request, Consumer<Response> answer);
+
+    /** What a node is made of. */
+    record Parts(Loop loop, HttpClient http, PeerTransport link, SplittableRandom random, JsonNode settings) {}
+
+    /** A node of this version. */
+    static SimNode current(Parts parts) {
+        Node node = new Node(
+                parts.loop(),
+                parts.http(),
+                parts.link(),
+                parts.random(),
+                Settings.read(parts.settings()),
+                Policy.defaults());
+        return new SimNode() {
+            @Override
+            public void start(Runnable ready) {
+                node.start(ready);
+            }
+
+            @Override
+            public boolean leads() {
+                return node.leads();
+            }
+
+            @Override
+            public void handle(Request request, Consumer<Response> answer) {
+                node.handler().handle(request, answer);
+            }
+        };
+    }
+}
--- a/src/test/java/org/spruceridge/sim/SimState.java
+++ b/src/test/java/org/spruceridge/sim/SimState.java
@@ -19,7 +19,11 @@
 /** The state service, written from its published protocol. */
 public final class SimState implements SimNet.Server {
     private final SimLoop loop;
-    private final int txnOps;
+    private int txnOps;
+    private double valueKb = SimulatedCluster.VALUE_KB;
+    private int rejected;
+    private int largest;
+    private int mostChanges;
     private final int pageSize;
     private final TreeMap<String, Value> keys = new TreeMap<>();
     private final Map<Long, Grant> grants = new HashMap<>();
@@ -29,7 +33,8 @@
     private long lastGrant;
     private long outageUntil;
     private final Limit requests;
-    private final Limit writes;
+    private Limit writes;
+    private boolean writesRefused;
 
     private record Value(JsonNode json, long stamp, long permit) {}
 
@@ -59,6 +64,38 @@
         loop.after(Durations.nanos(seconds), () -> grants.values().forEach(g -> g.until = loop.nanos() + g.ttl));
     }
 
+    /** Takes less from now on: larger values and transactions get 400, changes beyond the rate 429. */
+    void lowerLimits(double nextValueKb, int nextTxnOps, double writeRps) {
+        valueKb = nextValueKb;
+        txnOps = nextTxnOps;
+        writes = new Limit("writes", writeRps, 1, loop::nanos);
+        writesRefused = true;
+    }
+
+    /** Transactions that were refused because they, or a value in them, were too large. */
+    public int rejected() {
+        return rejected;
+    }
+
+    /** The largest value that was written since this was last asked for, in bytes. */
+    public int largestValue() {
+        int was = largest;
+        largest = 0;
+        return was;
+    }
+
+    /** The most changes of one transaction since this was last asked for. */
+    public int mostChanges() {
+        int was = mostChanges;
+        mostChanges = 0;
+        return was;
+    }
+
+    /** Writes a value as another version might have left it. */
+    public void put(String key, JsonNode value) {
+        keys.put(key, new Value(value, ++revision, 0));
+    }
+
     /** The value of a key, or null. */
     public JsonNode value(String key) {
         return keys.containsKey(key) ? keys.get(key).json : null;
@@ -170,12 +207,20 @@
 
     private HttpAnswer txn(JsonNode body) throws BadMessageException {
         JsonNode ops = body.path("then");
+        if (writesRefused && !writes.allows(ops.size())) {
+            return new HttpAnswer(429, new byte[0]);
+        }
         writes.take(ops.size());
+        mostChanges = Math.max(mostChanges, ops.size());
         if (ops.size() > txnOps || body.path("guards").size() > 4 * txnOps) {
+            rejected++;
             throw new BadMessageException("too many");
         }
         for (JsonNode op : ops) {
-            if (Json.bytes(Json.object().set("v", op.path("v"))).length > SimulatedCluster.VALUE_KB * 1024) {
+            int bytes = Json.bytes(Json.object().set("v", op.path("v"))).length;
+            largest = Math.max(largest, bytes);
+            if (bytes > valueKb * 1024) {
+                rejected++;
                 throw new BadMessageException("too large");
             }
         }
--- a/src/test/java/org/spruceridge/sim/SimWorker.java
+++ b/src/test/java/org/spruceridge/sim/SimWorker.java
@@ -40,7 +40,9 @@
     /** What a started task does. */
     public enum Behaviour {
         COMPLETES,
-        FAILS
+        FAILS,
+        /** Services too come to their end, at once. */
+        ENDS_SERVICES
     }
 
     private static final class Task {
@@ -285,14 +287,17 @@
         tasks.put(key, task);
         cluster.started(task.part, this, zone, spot);
         soon();
-        process.after(Durations.nanos(cluster.runS(task.part)), () -> complete(task, key));
+        boolean ends = !cluster.standing(task.part) || behaviour != Behaviour.COMPLETES;
+        if (ends) {
+            process.after(Durations.nanos(cluster.runS(task.part)), () -> complete(task, key));
+        }
     }
 
     private void complete(Task task, String key) {
         if (frozen) {
             held.add(() -> complete(task, key));
         } else if (tasks.get(key) == task && !task.stage.equals("ended")) {
-            end(task, behaviour == Behaviour.COMPLETES ? "done" : "error");
+            end(task, behaviour == Behaviour.FAILS ? "error" : "done");
         }
     }
 
--- a/src/test/java/org/spruceridge/sim/SimulatedCluster.java
+++ b/src/test/java/org/spruceridge/sim/SimulatedCluster.java
@@ -13,15 +13,12 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.spruceridge.config.Address;
-import org.spruceridge.config.Policy;
-import org.spruceridge.config.Settings;
 import org.spruceridge.net.BadMessageException;
 import org.spruceridge.net.Durations;
 import org.spruceridge.net.HttpAnswer;
 import org.spruceridge.net.Json;
 import org.spruceridge.net.Request;
 import org.spruceridge.net.Response;
-import org.spruceridge.node.Node;
 import org.spruceridge.peer.PeerTransport;
 import org.spruceridge.record.BindingsRecord;
 
@@ -36,6 +33,9 @@
     public static final double BOOT_S = 5;
     public static final double TEAM_CPUS = 16;
     static final int VALUE_KB = 4;
+    static final double NEXT_VALUE_KB = 2;
+    static final int NEXT_TXN_OPS = 4;
+    static final double NEXT_WRITE_RPS = 40;
     static final double STATE_RPS = 200;
     static final double STATE_WRITE_RPS = 100;
     static final double CLOUD_RPS = 10;
@@ -55,14 +55,32 @@
     private final Set<String> cutPeers = new HashSet<>();
     private int lives;
 
-    private record Running(Node node, SimLoop.Process process, Link link) {}
+    private final Set<String> onProduction = new HashSet<>();
+    private boolean limitsWillFall;
+
+    private record Running(SimNode node, SimLoop.Process process, Link link) {}
 
     public SimulatedCluster(int nodeCount) {
         this(nodeCount, 12, 1000);
     }
 
+    /** A cluster whose nodes all run the version in production; the state service will lower its limits some time. */
+    public static SimulatedCluster inProduction(int nodeCount) {
+        return new SimulatedCluster(nodeCount, 12, 1000, true, true);
+    }
+
+    /** A cluster of this version whose state service will lower its limits some time. */
+    public static SimulatedCluster withFallingLimits(int nodeCount) {
+        return new SimulatedCluster(nodeCount, 12, 1000, false, true);
+    }
+
     /** A small page size makes listings come in several pages. */
     public SimulatedCluster(int nodeCount, int txnOps, int pageSize) {
+        this(nodeCount, txnOps, pageSize, false, false);
+    }
+
+    private SimulatedCluster(int nodeCount, int txnOps, int pageSize, boolean production, boolean limitsWillFall) {
+        this.limitsWillFall = limitsWillFall;
         this.state = new SimState(loop, txnOps, pageSize);
         this.cloud = new SimCloud(this);
         net.serve(STATE, state);
@@ -70,6 +88,9 @@
         for (int i = 0; i < nodeCount; i++) {
             names.add("n" + i);
         }
+        if (production) {
+            onProduction.addAll(names);
+        }
         names.forEach(this::boot);
         watchRules();
     }
@@ -92,18 +113,15 @@
     public void boot(String name) {
         SimLoop.Process process = new SimLoop.Process(loop);
         Link link = new Link(name);
-        Node node = new Node(
-                process,
-                net.client(name, process),
-                link,
-                new SplittableRandom(++lives),
-                settings(name),
-                Policy.defaults());
+        SimNode.Parts parts = new SimNode.Parts(
+                process, net.client(name, process), link, new SplittableRandom(++lives), settings(name));
+        SimNode node = onProduction.contains(name) ? ProductionVersion.node(parts) : SimNode.current(parts);
         nodes.put(name, new Running(node, process, link));
         net.serve(
                 address(name),
-                (call, answer) -> process.after(0, () -> node.handler()
-                        .handle(new Request(call.method(), call.target(), call.body()), response -> {
+                (call, answer) -> process.after(
+                        0,
+                        () -> node.handle(new Request(call.method(), call.target(), call.body()), response -> {
                             if (!process.dead()) {
                                 answer.accept(new HttpAnswer(response.status(), response.body()));
                             }
@@ -118,6 +136,30 @@
         net.remove(address(name));
     }
 
+    /** Ends a node and starts it again with the new version after a while, as its turn in an upgrade. */
+    public void upgrade(String name, double backAfterS) {
+        crash(name);
+        onProduction.remove(name);
+        loop.after(Durations.nanos(backAfterS), () -> bootIfDead(name));
+    }
+
+    /** Ends a node and starts it again with the version in production. */
+    public void downgrade(String name, double backAfterS) {
+        crash(name);
+        onProduction.add(name);
+        loop.after(Durations.nanos(backAfterS), () -> bootIfDead(name));
+    }
+
+    /** True if the node runs the version in production. */
+    public boolean onProduction(String name) {
+        return onProduction.contains(name);
+    }
+
+    /** The state service takes less from now on, without notice. */
+    public void lowerLimits() {
+        state.lowerLimits(NEXT_VALUE_KB, NEXT_TXN_OPS, NEXT_WRITE_RPS);
+    }
+
     /** Lets a node stand still while its clocks run on. */
     public void standStill(String name, double seconds) {
         nodes.get(name).process.standStill(seconds);
@@ -168,7 +210,7 @@
         if (path.endsWith("/abort")) {
             rules.asksToCancel(id);
         }
-        nodes.get(node).node.handler().handle(new Request(method, path, body), r -> got[0] = r);
+        nodes.get(node).node.handle(new Request(method, path, body), r -> got[0] = r);
         for (int i = 0; i < 500 && got[0] == null; i++) {
             loop.run(0.01);
         }
@@ -296,6 +338,23 @@
                 .putNull("dueS");
     }
 
+    /** A service of replicas of 2 CPUs. */
+    public static ObjectNode service(int number, int replicas) {
+        return job(number, replicas)
+                .put("lot", "portal")
+                .put("shape", "standing")
+                .put("rank", "production")
+                .put("cpus", 2.0)
+                .put("windfall", false)
+                .put("expectS", 0.0);
+    }
+
+    /** How many replicas of a service are on machines. */
+    public long replicas(int number) {
+        String id = String.format("j-%06d", number);
+        return running().keySet().stream().filter(p -> p.startsWith(id + "/")).count();
+    }
+
     /** What the records say is bound to each machine. */
     public List<BindingsRecord.OnMachine> recorded() {
         List<BindingsRecord.OnMachine> out = new ArrayList<>();
@@ -345,6 +404,11 @@
         return rules.running();
     }
 
+    /** True if the task is a replica of a service, which ends only when it is stopped. */
+    boolean standing(String part) {
+        return RuleChecker.isService(rules.job(part.split("/")[0]));
+    }
+
     double runS(String part) {
         return rules.job(part.split("/")[0]).path("expectS").asDouble();
     }
@@ -362,7 +426,7 @@
         rules.completes(part);
     }
 
-    private Settings settings(String name) {
+    private ObjectNode settings(String name) {
         ObjectNode root = Json.object()
                 .put("host_name", name)
                 .put("domain", "z1")
@@ -382,14 +446,20 @@
                 .put("report_s", REPORT_S)
                 .put("lease_s", LEASE_S)
                 .put("cancel_s", CANCEL_S);
-        facts.putObject("state")
+        ObjectNode limits = facts.putObject("state")
                 .put("rps", STATE_RPS)
                 .put("write_rps", STATE_WRITE_RPS)
                 .put("value_kb", VALUE_KB)
                 .put("txn_ops", 12);
+        if (limitsWillFall) {
+            limits.putObject("next")
+                    .put("write_rps", NEXT_WRITE_RPS)
+                    .put("value_kb", NEXT_VALUE_KB)
+                    .put("txn_ops", NEXT_TXN_OPS);
+        }
         facts.putObject("cloud").put("rps", CLOUD_RPS).put("list_lag_s", 2);
         facts.putObject("resources").put("core_share", 1).put("mem_mb", 200).put("max_sockets", 100);
-        return Settings.read(root);
+        return root;
     }
 
     private final class Link implements PeerTransport {
