Scenarios of services; a replica that ends early runs elsewhere, and less often when all do

Found by a scenario: a service of which one replica ended at once on one machine was started there twice a second as long as another replica ran.

--- a/src/main/java/org/spruceridge/cluster/Job.java
+++ b/src/main/java/org/spruceridge/cluster/Job.java
@@ -23,6 +23,7 @@
     private long notBefore = Long.MIN_VALUE;
     private long incompleteSince = Machine.NEVER;
     private int earlyExits;
+    private long lastEarlyExit = Long.MIN_VALUE / 2;
 
     /** {@code stamp} is that of the job's record and of its marker, which are written together. */
     public Job(JobSpec spec, long stamp, long submittedMs) {
@@ -150,9 +151,10 @@
         return earlyExits;
     }
 
-    /** Counts a replica that ended by itself soon after its start. */
-    public void countEarlyExit() {
-        earlyExits++;
+    /** Counts a replica that ended by itself soon after its start; what is older than {@code memory} is forgotten. */
+    public void countEarlyExit(long now, long memory) {
+        earlyExits = now - lastEarlyExit > memory ? 1 : earlyExits + 1;
+        lastEarlyExit = now;
     }
 
     /** A replica has run for long: what went wrong before says nothing about the job. */
--- a/src/main/java/org/spruceridge/leader/ReportHandler.java
+++ b/src/main/java/org/spruceridge/leader/ReportHandler.java
@@ -28,7 +28,9 @@
     private static final Logger LOG = LoggerFactory.getLogger(ReportHandler.class);
     /** Jobs that must fail on a machine before the machine is taken for faulty. */
     private static final int FAULTY_JOBS = 2;
-    /** The time for which a service is held back is not doubled more often. */
+    /** For how long an early end of a replica counts, against the longest time for which a service is held back. */
+    private static final double EARLY_EXITS_OF_CANCEL = 2;
+    /** That time is not doubled more often. */
     private static final int MOST_DOUBLINGS = 16;
 
     private final Loop loop;
@@ -189,17 +191,17 @@
         LOG.debug("{} ended: {} after {} s", b, cause, ranS);
         Job job = b.job();
         Machine machine = b.machine();
-        if (job.spec().isService() && b.halt() == Binding.Halt.NO) {
-            replicaEnded(job, cause, ranS, now);
-        }
         switch (cause) {
-            case DONE -> {
-                if (!job.spec().isService()) {
+            case DONE, ERROR -> {
+                if (job.spec().isService()) {
+                    replicaEnded(job, machine, ranS, now);
+                } else if (cause == Cause.ERROR) {
+                    failed(job, machine, now);
+                } else {
                     machine.failedJobs().clear();
                     job.faultyOn().clear();
                 }
             }
-            case ERROR -> failed(job, machine, now);
             case NO_ROOM, BUSY, UNKNOWN -> {
                 warnings.warn("start refused: " + cause, b.toString());
                 holdBack(job, now, settings.workers().reportS());
@@ -229,17 +231,18 @@
         }
     }
 
-    /** A replica ended by itself. It runs again at once, unless replicas of its service keep ending after a short time. */
-    private void replicaEnded(Job job, Cause cause, double ranS, long now) {
-        if (cause != Cause.DONE && cause != Cause.ERROR) {
-            return;
-        }
-        double longS = settings.workers().leaseS();
-        if (ranS >= longS || job.bindings().stream().anyMatch(other -> other.elapsedS(now) >= longS)) {
+    /**
+     * A replica ended by itself, which none should. It runs again at once: elsewhere, if it ran for a short time only, and
+     * less and less often once more of them in a row have done so than the service has replicas.
+     */
+    private void replicaEnded(Job job, Machine machine, double ranS, long now) {
+        if (ranS >= settings.workers().leaseS()) {
             job.provenToRun();
             return;
         }
-        job.countEarlyExit();
+        failed(job, machine, now);
+        job.countEarlyExit(
+                now, Durations.nanos(EARLY_EXITS_OF_CANCEL * settings.workers().cancelS()));
         int beyond = job.earlyExits() - job.spec().tasks();
         if (beyond > 0) {
             double backoffS = settings.workers().reportS() * Math.pow(2, Math.min(beyond, MOST_DOUBLINGS));
--- a/src/test/java/org/spruceridge/sim/SimCloud.java
+++ b/src/test/java/org/spruceridge/sim/SimCloud.java
@@ -27,6 +27,7 @@
     private int count;
     private int deletions;
     private int capacity = Integer.MAX_VALUE;
+    private SimWorker.Behaviour behaviour = SimWorker.Behaviour.COMPLETES;
 
     private record Host(String zone, boolean spot, long rentedAt, SimWorker[] worker, String[] stage) {}
 
@@ -35,6 +36,12 @@
         this.calls = new Limit("calls of the cloud", SimulatedCluster.CLOUD_RPS, 2, cluster.loop::nanos);
     }
 
+    /** What tasks do on all machines, those to come included. */
+    public void behaviour(SimWorker.Behaviour next) {
+        behaviour = next;
+        workers().forEach(w -> w.behaviour(next));
+    }
+
     /** The most machines that can be rented at one time. */
     public void capacity(int machines) {
         capacity = machines;
@@ -122,6 +129,7 @@
         cluster.loop.after(Durations.nanos(SimulatedCluster.BOOT_S), () -> {
             if (hosts.containsKey(name)) {
                 host.worker[0] = new SimWorker(cluster, name, zone, spot);
+                host.worker[0].behaviour(behaviour);
                 host.stage[0] = "running";
             }
         });
--- a/src/test/java/org/spruceridge/sim/SimWorker.java
+++ b/src/test/java/org/spruceridge/sim/SimWorker.java
@@ -115,6 +115,15 @@
         leaseFrom = cluster.loop.nanos();
     }
 
+    /** Replicas of services on the machine come to their end by themselves. */
+    public void endReplicas(String cause) {
+        for (Task task : List.copyOf(tasks.values())) {
+            if (cluster.standing(task.part) && !task.stage.equals("ended")) {
+                end(task, cause);
+            }
+        }
+    }
+
     /** Tasks that are on the machine now. */
     public List<String> running() {
         return tasks.values().stream()
@@ -305,7 +314,7 @@
         task.stage = "ended";
         task.cause = cause;
         cluster.ended(task.part, name);
-        if (cause.equals("done")) {
+        if (cause.equals("done") && !cluster.standing(task.part)) {
             cluster.completed(task.part);
         }
         soon();
