--- a/src/test/java/org/spruceridge/config/SettingsTest.java
+++ b/src/test/java/org/spruceridge/config/SettingsTest.java
@@ -60,6 +60,12 @@
                 "\"txn_ops\":24; \"txn_ops\":1.5; facts.state.txn_ops must be a whole number above 0",
                 "\"rps\":6.0; \"rpm\":6.0; facts.cloud.rps is missing",
                 "\"peer_addr\":\"10.0.0.2:8081\"; \"at\":1; members[0].peer_addr is missing",
+                "\"value_kb\":8.0; \"value_kb\":0.5; facts.state.value_kb must be at least 1.0",
+                "\"txn_ops\":24; \"txn_ops\":2; facts.state.txn_ops must be at least 3",
+                "\"txn_ops\":24; \"txn_ops\":24,\"next\":7; facts.state.next is not an object",
+                "\"txn_ops\":24; \"txn_ops\":24,\"next\":{\"txn_ops\":2}; facts.state.next.txn_ops must be at least 3",
+                "\"txn_ops\":24; \"txn_ops\":24,\"next\":{\"value_kb\":\"2\"}; facts.state.next.value_kb is not a number",
+                "\"txn_ops\":24; \"txn_ops\":24,\"next\":{\"write_rps\":0}; facts.state.next.write_rps must be above 0",
                 "\"zones\":[\"a\",\"b\"]; \"zones\":[1]; facts.zones must hold texts only",
             })
     void aComplaintNamesTheField(String from, String to, String complaint) throws IOException {
@@ -70,6 +76,23 @@
                         .getMessage());
     }
 
+    /** Sizes fit both sets from the start, rates are kept until the service shows the new ones. */
+    @Test
+    void limitsToComeAreReadBesideThoseOfNow() throws IOException {
+        Settings.State now = Settings.read(json(GOOD)).state();
+        assertEquals(now.now(), now.next());
+        Settings.State both = Settings.read(json(GOOD.replace(
+                        "\"txn_ops\":24",
+                        "\"txn_ops\":24,\"next\":{\"value_kb\":2,\"txn_ops\":4,\"write_rps\":35,\"x\":1}")))
+                .state();
+        assertEquals(2, both.valueKb());
+        assertEquals(4, both.txnOps());
+        assertEquals(50, both.now().writeRps());
+        assertEquals(35, both.next().writeRps());
+        assertEquals(200, both.next().rps());
+        assertTrue(both.ratesMayFall());
+    }
+
     @Test
     void theShippedPolicyIsWhatTheProgramStartsWith() {
         assertEquals(Policy.defaults(), Policy.load(Path.of("deploy/spruceridge.yaml")));
--- a/src/test/java/org/spruceridge/schedule/HeuristicsTest.java
+++ b/src/test/java/org/spruceridge/schedule/HeuristicsTest.java
@@ -8,8 +8,12 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.spruceridge.cluster.Binding;
+import org.spruceridge.cluster.Cluster;
 import org.spruceridge.cluster.Job;
+import org.spruceridge.cluster.JobKind;
 import org.spruceridge.cluster.JobPriority;
+import org.spruceridge.cluster.Machine;
 import org.spruceridge.cluster.MachineKind;
 import org.spruceridge.cluster.Resources;
 import org.spruceridge.config.Policy;
@@ -80,6 +84,29 @@
         assertEquals(expected, new StarvationPrevention(240).value(new Heuristic.Row(c, 0, 100), COLUMN, 40), 1e-9);
     }
 
+    // Of a service 0.5 + 0.5 * missing / (missing + 10), of any other job 0.
+    @ParameterizedTest
+    @CsvSource({"SERVICE, 0, 0.5", "SERVICE, 10, 0.75", "SERVICE, 90, 0.95", "ARRAY, 90, 0"})
+    void availability(JobKind kind, double missingS, double expected) {
+        Candidate c = new Candidate(Fixtures.job(1, kind, 4), 0, missingS, Double.POSITIVE_INFINITY);
+        assertEquals(expected, new Availability(10).value(new Heuristic.Row(c, 0, 100), COLUMN, 10), 1e-9);
+    }
+
+    // A service of which a replica was lost 30 s ago has that age, whenever it was submitted; it has no deadline.
+    @Test
+    void theAgeOfAServiceIsThatOfItsGap() {
+        Cluster cluster = new Cluster();
+        Job service = Fixtures.job(1, JobKind.SERVICE, 1);
+        Machine machine = new Machine("i-1", "", COLUMN.kind(), 0, 0);
+        Binding b = new Binding(service, 0, 1, machine, Binding.Stage.COMMITTED, 0);
+        assertEquals(500, Candidate.waiting(service, 0, 500_000).ageS(), 1e-9);
+        cluster.bind(b);
+        cluster.unbind(b, 70_000_000_000L);
+        Candidate gap = Candidate.waiting(service, 100_000_000_000L, 500_000);
+        assertEquals(30, gap.ageS(), 1e-9);
+        assertEquals(Double.POSITIVE_INFINITY, gap.slackS());
+    }
+
     @Test
     void remainingTimeIsFlooredAtTenSeconds() {
         Estimates estimates = new Estimates(10);
--- a/src/test/java/org/spruceridge/sim/Fixtures.java
+++ b/src/test/java/org/spruceridge/sim/Fixtures.java
@@ -4,6 +4,7 @@
 import com.google.common.collect.ImmutableMap;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import org.spruceridge.cluster.Job;
 import org.spruceridge.cluster.JobKind;
 import org.spruceridge.cluster.JobPriority;
 import org.spruceridge.cluster.JobSpec;
@@ -42,6 +43,32 @@
                 0);
     }
 
+    /** A job of the team red, of tasks of one CPU, with a deadline that a service has no use for. */
+    public static Job job(int number, JobKind kind, int tasks) {
+        return new Job(
+                new JobSpec(
+                        String.format("j-%06d", number),
+                        "c",
+                        "red",
+                        kind,
+                        JobPriority.PRODUCTION,
+                        tasks,
+                        new Resources(1, 0, 1),
+                        Optional.empty(),
+                        Optional.empty(),
+                        false,
+                        false,
+                        false,
+                        "img",
+                        1,
+                        kind == JobKind.SERVICE ? 0 : 30,
+                        0,
+                        0,
+                        OptionalDouble.of(60)),
+                1,
+                0);
+    }
+
     /** An array job of the team red that may run anywhere. */
     public static JobSpec spec(
             String id,
