--- a/src/main/java/org/spruceridge/cluster/Cluster.java
+++ b/src/main/java/org/spruceridge/cluster/Cluster.java
@@ -11,7 +11,8 @@
 
 /** The cluster state as one term's leader knows it: jobs, machines, and the bindings between them. */
 public final class Cluster {
-    private static final int GONE_KEPT = 5000;
+    /** Names of machines that are gone, for as long as late reports and lagging lists may name them: twice a large fleet. */
+    private static final int GONE_KEPT = 10_000;
 
     private final Set<String> gone = new LinkedHashSet<>();
     private final Map<String, Job> jobs = new LinkedHashMap<>();
--- a/src/main/java/org/spruceridge/leader/Leader.java
+++ b/src/main/java/org/spruceridge/leader/Leader.java
@@ -103,7 +103,7 @@
                 settings,
                 context.policy(),
                 BindingsRecord.mostBindings(settings.state().recordKb()));
-        this.schedulingLoop = new SchedulingLoop(context, recordWriter, matching, this::push);
+        this.schedulingLoop = new SchedulingLoop(context, recordWriter, matching, this::push, resign);
         this.commandSender = new CommandSender(context, workers, reportHandler, () -> schedulingLoop.request());
         this.watch = new JobWatcher(context, state, recordWriter, commandSender::push, () -> schedulingLoop.request());
         this.takeover = new Takeover(context, state, recordWriter.records());
--- a/src/main/java/org/spruceridge/leader/SchedulingLoop.java
+++ b/src/main/java/org/spruceridge/leader/SchedulingLoop.java
@@ -22,6 +22,11 @@
 
     private static final long LOOK_AGAIN = Durations.millis(20);
 
+    /** The bits of an attempt below its term; a term whose attempts are used up ends. */
+    private static final int ATTEMPT_BITS = 24;
+
+    static final long MOST_ATTEMPTS = (1L << ATTEMPT_BITS) - 1;
+
     private final Loop loop;
     private final CancellationScope scope;
     private final Cluster cluster;
@@ -32,6 +37,7 @@
     private final LeaderTerm term;
     private final Latencies latencies;
     private final Consumer<Machine> push;
+    private final Consumer<String> resign;
     private Plan lastPlan;
     private long dueAt;
     private boolean due;
@@ -39,8 +45,14 @@
     private long lastCost;
     private long attempts;
 
-    /** {@code push} is told of machines on which something has to be stopped. */
-    public SchedulingLoop(LeaderContext context, RecordWriter recordWriter, Matching matching, Consumer<Machine> push) {
+    /** {@code push} is told of machines on which something has to be stopped; {@code resign} gives the lead up. */
+    public SchedulingLoop(
+            LeaderContext context,
+            RecordWriter recordWriter,
+            Matching matching,
+            Consumer<Machine> push,
+            Consumer<String> resign) {
+        this.resign = resign;
         this.loop = context.loop();
         this.scope = context.scope();
         this.cluster = context.cluster();
@@ -73,6 +85,11 @@
         }
     }
 
+    /** So many attempts of this term are taken already. */
+    void attemptsTaken(long count) {
+        attempts = count;
+    }
+
     /** The latest plan, or null before the first. */
     public Plan lastPlan() {
         return lastPlan;
@@ -84,6 +101,10 @@
         lastRun = now;
         Plan plan = matching.plan(cluster, now, loop.wallMillis());
         lastPlan = plan;
+        if (attempts + plan.placements().size() > MOST_ATTEMPTS) {
+            resign.accept("the attempts of this term are used up");
+            return;
+        }
         lastCost = loop.nanos() - now;
         latencies.record(Latencies.Kind.SCHEDULING_CYCLES, lastCost);
         for (Plan.Placement p : plan.placements()) {
@@ -115,6 +136,6 @@
 
     /** Attempts grow over all terms: the term is their upper part. */
     private long nextAttempt() {
-        return (term.term() << 24) + (++attempts);
+        return (term.term() << ATTEMPT_BITS) + (++attempts);
     }
 }
--- a/src/main/java/org/spruceridge/leader/WarmUpLeader.java
+++ b/src/main/java/org/spruceridge/leader/WarmUpLeader.java
@@ -110,7 +110,7 @@
         this.reportHandler = new ReportHandler(context, recordWriter, machine -> requestCycle());
         Matching matching = new Matching(
                 settings, policy, BindingsRecord.mostBindings(settings.state().recordKb()));
-        this.schedulingLoop = new SchedulingLoop(context, recordWriter, matching, machine -> {});
+        this.schedulingLoop = new SchedulingLoop(context, recordWriter, matching, machine -> {}, why -> {});
         addMachines();
     }
 
--- /dev/null
+++ b/src/test/java/org/spruceridge/leader/FleetSizeTest.java
@@ -0,0 +1,282 @@
+package org.spruceridge.leader;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import com.sun.management.ThreadMXBean;
+import java.lang.management.ManagementFactory;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalDouble;
+import java.util.function.Predicate;
+import org.junit.jupiter.api.Test;
+import org.spruceridge.cluster.Binding;
+import org.spruceridge.cluster.Cluster;
+import org.spruceridge.cluster.Job;
+import org.spruceridge.cluster.JobPriority;
+import org.spruceridge.cluster.Machine;
+import org.spruceridge.cluster.MachineKind;
+import org.spruceridge.cluster.MachineType;
+import org.spruceridge.cluster.Resources;
+import org.spruceridge.config.Address;
+import org.spruceridge.config.Policy;
+import org.spruceridge.config.Settings;
+import org.spruceridge.net.Durations;
+import org.spruceridge.net.HttpClient;
+import org.spruceridge.net.Json;
+import org.spruceridge.net.Latencies;
+import org.spruceridge.net.RateLimitedWarnings;
+import org.spruceridge.net.RateLimiter;
+import org.spruceridge.record.BindingsRecord;
+import org.spruceridge.record.JobRecord;
+import org.spruceridge.record.Keys;
+import org.spruceridge.schedule.Matching;
+import org.spruceridge.sim.Fixtures;
+import org.spruceridge.sim.SimLoop;
+import org.spruceridge.sim.SimState;
+import org.spruceridge.state.StateClient;
+import org.spruceridge.worker.Report;
+import org.spruceridge.worker.Report.Cause;
+import org.spruceridge.worker.Report.TaskReport;
+import org.spruceridge.worker.Report.TaskState;
+
+/**
+ * A leader of 4,000 machines and 40,000 tasks under small limits of the state service: all is bound, a burst of ends is
+ * taken, and another leader takes over; nothing is refused or lost, and transactions, bytes and heap stay within bounds.
+ */
+final class FleetSizeTest {
+    private static final int MACHINES = 4000;
+    private static final int JOBS = 200;
+    private static final int TASKS_OF_A_JOB = 200;
+    private static final int TASKS = JOBS * TASKS_OF_A_JOB;
+    private static final Address HERE = new Address("10.0.0.1", 1);
+    private static final int TXN_OPS = 4;
+    private static final double VALUE_KB = 2;
+    private static final double CHANGES_PER_S = 90;
+    /** The deployed heap is 64 MB, and a leader needs some of it for what it is doing. */
+    private static final long MOST_HEAP = 32L << 20;
+    /** Of a cycle on a cluster in which all is full; a walk over all pairs would take a hundred times as much. */
+    private static final long MOST_BYTES_OF_A_CYCLE = 4L << 20;
+
+    private static final Settings SETTINGS = Fixtures.settings(
+            ImmutableMap.of("red", new Settings.Team("red", 0, 0, 0, 0)),
+            new Settings.Workers(5, 22, 42),
+            new Settings.State(200, 100, VALUE_KB, TXN_OPS),
+            new Settings.Cloud(8, 5),
+            new Settings.Resources(1, 414, 3203));
+
+    private final SimLoop loop = new SimLoop();
+    private final SimState state = new SimState(loop, TXN_OPS, 1000);
+    private final Matching matching = new Matching(
+            SETTINGS,
+            Policy.defaults(),
+            BindingsRecord.mostBindings(SETTINGS.state().recordKb()));
+    private long leaderStamp;
+
+    /** A leader of one term with all its parts but the network. */
+    private final class Term {
+        private final LeaderContext context;
+        private final Cluster cluster;
+        private final StateClient client;
+        private final RecordWriter recordWriter;
+        private final ReportHandler reportHandler;
+        private final SchedulingLoop schedulingLoop;
+
+        Term(long number) {
+            context = LeaderContext.begin(
+                    loop,
+                    SETTINGS,
+                    Policy.defaults(),
+                    new LeaderTerm(number, leaderStamp, loop.nanos()),
+                    () -> true,
+                    new RateLimitedWarnings(loop),
+                    new Latencies(loop));
+            cluster = context.cluster();
+            cluster.types(ImmutableMap.of(
+                    "t4",
+                    new MachineType("t4", new Resources(4, 0, 16), 1, 0.2, 0.06, 20, ImmutableList.of("a", "b"))));
+            HttpClient http =
+                    (to, call, timeout, done) -> loop.after(Durations.millis(5), () -> state.accept(call, done));
+            client = new StateClient(
+                    loop,
+                    http,
+                    HERE,
+                    new RateLimiter(loop, 190, CHANGES_PER_S, 1),
+                    context.warnings(),
+                    context.latencies());
+            recordWriter = new RecordWriter(context, client, new Listener());
+            reportHandler = new ReportHandler(context, recordWriter, machine -> requestCycle());
+            schedulingLoop = new SchedulingLoop(context, recordWriter, matching, machine -> {}, why -> {
+                throw new AssertionError(why);
+            });
+        }
+
+        private void requestCycle() {
+            schedulingLoop.request();
+        }
+
+        private final class Listener implements RecordWriter.Listener {
+            @Override
+            public void committed(ImmutableSet<Machine> bound) {
+                requestCycle();
+            }
+
+            @Override
+            public void cancelled(Job job) {
+                throw new AssertionError(job.id());
+            }
+
+            @Override
+            public void broken(String why) {
+                throw new AssertionError(why);
+            }
+        }
+
+        long bindings(Predicate<Binding> which) {
+            return cluster.machines().stream()
+                    .flatMap(m -> m.bindings().stream())
+                    .filter(which)
+                    .count();
+        }
+
+        long committed() {
+            return bindings(b -> b.stage() == Binding.Stage.COMMITTED);
+        }
+    }
+
+    private void addJobsAndMachines(Term term) {
+        for (int i = 0; i < JOBS; i++) {
+            Job draft = new Job(
+                    Fixtures.spec(
+                            String.format("j-%06d", i),
+                            JobPriority.NORMAL,
+                            TASKS_OF_A_JOB,
+                            new Resources(0.4, 0, 1),
+                            60,
+                            0,
+                            OptionalDouble.empty()),
+                    1,
+                    loop.wallMillis());
+            var record = JobRecord.open(draft.spec(), draft.submittedMs()).write();
+            long stamp = state.put(Keys.open(draft.id()), record);
+            term.cluster.add(new Job(draft.spec(), stamp, draft.submittedMs()));
+        }
+        for (int i = 0; i < MACHINES; i++) {
+            Machine machine = new Machine(
+                    String.format("i-%06d", i),
+                    "",
+                    new MachineKind("t4", i % 2 == 0 ? "a" : "b", i % 3 == 0),
+                    loop.nanos(),
+                    loop.nanos());
+            machine.heard(1, 1, "", true, loop.nanos());
+            machine.fence();
+            term.cluster.add(machine);
+        }
+    }
+
+    /** Each machine reports all its tasks as running but the first, which has ended. */
+    private void burstOfEnds(Term term) {
+        for (Machine machine : List.copyOf(term.cluster.machines())) {
+            List<TaskReport> tasks = new ArrayList<>();
+            for (Binding b : machine.bindings()) {
+                boolean ends = tasks.isEmpty();
+                tasks.add(new TaskReport(
+                        b.task(),
+                        b.attempt(),
+                        ends ? TaskState.EXITED : TaskState.RUNNING,
+                        ends ? Cause.DONE : Cause.NONE));
+            }
+            term.reportHandler.handle(new Report(
+                    machine.name(),
+                    "",
+                    machine.kind(),
+                    1,
+                    2,
+                    term.context.term().term(),
+                    OptionalDouble.empty(),
+                    ImmutableList.copyOf(tasks)));
+        }
+    }
+
+    private static long heap() {
+        Runtime runtime = Runtime.getRuntime();
+        System.gc();
+        return runtime.totalMemory() - runtime.freeMemory();
+    }
+
+    private int pages() {
+        return state.keys(Keys.BINDINGS).size() + state.keys(Keys.FINISHED).size();
+    }
+
+    @Test
+    void fourThousandMachinesAreServed() {
+        state.lowerLimits(VALUE_KB, TXN_OPS, 100);
+        leaderStamp = state.put(Keys.LEADER, Json.object());
+        long heapBefore = heap();
+        Term first = new Term(1);
+        addJobsAndMachines(first);
+        first.schedulingLoop.request();
+        for (int s = 0; s < 120 && first.committed() < TASKS; s++) {
+            loop.run(1);
+        }
+        assertEquals(TASKS, first.committed(), "bound");
+        assertEquals(0, state.rejected());
+        // A page carries all that has gathered for it, and is written a few times at most.
+        assertTrue(state.transactions() <= 4 * pages(), state.transactions() + " transactions, " + pages() + " pages");
+        assertTrue(heap() - heapBefore < MOST_HEAP, "heap: " + (heap() - heapBefore));
+
+        int transactionsBefore = state.transactions();
+        burstOfEnds(first);
+        for (int s = 0; s < 60 && first.recordWriter.backlog() > 0; s++) {
+            loop.run(1);
+        }
+        assertEquals(TASKS - MACHINES, first.committed(), "after the burst");
+        int burst = state.transactions() - transactionsBefore;
+        assertTrue(burst <= 4 * pages(), burst + " transactions, " + pages() + " pages");
+
+        ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+        long allocatedBefore = threads.getCurrentThreadAllocatedBytes();
+        matching.plan(first.cluster, loop.nanos(), loop.wallMillis());
+        long bytes = threads.getCurrentThreadAllocatedBytes() - allocatedBefore;
+        assertTrue(bytes < MOST_BYTES_OF_A_CYCLE, "bytes a cycle: " + bytes);
+
+        Term second = new Term(2);
+        boolean[] ready = new boolean[1];
+        new Takeover(second.context, second.client, second.recordWriter.records()).start(new Takeover.Listener() {
+            @Override
+            public void jobsKnown(long asOf) {}
+
+            @Override
+            public void ready(long revision) {
+                ready[0] = true;
+            }
+        });
+        loop.run(10);
+        assertTrue(ready[0], "taken over");
+        assertEquals(TASKS - MACHINES, second.committed(), "taken over");
+        assertEquals(
+                MACHINES,
+                second.cluster.jobs().stream().mapToInt(Job::doneCount).sum(),
+                "ends that were taken over");
+        assertEquals(0, state.rejected());
+    }
+
+    /** The attempts of a term are numbers of 24 bits: before they are used up the leader gives the lead up. */
+    @Test
+    void aTermEndsBeforeItsAttemptsDo() {
+        leaderStamp = state.put(Keys.LEADER, Json.object());
+        Term term = new Term(1);
+        addJobsAndMachines(term);
+        List<String> resigned = new ArrayList<>();
+        SchedulingLoop schedulingLoop =
+                new SchedulingLoop(term.context, term.recordWriter, matching, machine -> {}, resigned::add);
+        schedulingLoop.attemptsTaken(SchedulingLoop.MOST_ATTEMPTS - 10);
+        schedulingLoop.request();
+        loop.run(1);
+        assertEquals(1, resigned.size());
+        assertEquals(0, term.bindings(b -> true));
+    }
+}
--- a/src/test/java/org/spruceridge/sim/SimState.java
+++ b/src/test/java/org/spruceridge/sim/SimState.java
@@ -22,6 +22,7 @@
     private int txnOps;
     private double valueKb = SimulatedCluster.VALUE_KB;
     private int rejected;
+    private int transactions;
     private int largest;
     private int mostChanges;
     private final int pageSize;
@@ -49,7 +50,8 @@
 
     private record Watch(String prefix, long from, Consumer<HttpAnswer> answer, boolean[] over) {}
 
-    SimState(SimLoop loop, int txnOps, int pageSize) {
+    /** Takes values of 4 KiB and so many changes a transaction; listings come in pages of {@code pageSize}. */
+    public SimState(SimLoop loop, int txnOps, int pageSize) {
         this.loop = loop;
         this.txnOps = txnOps;
         this.pageSize = pageSize;
@@ -65,7 +67,7 @@
     }
 
     /** Takes less from now on: larger values and transactions get 400, changes beyond the rate 429. */
-    void lowerLimits(double nextValueKb, int nextTxnOps, double writeRps) {
+    public void lowerLimits(double nextValueKb, int nextTxnOps, double writeRps) {
         valueKb = nextValueKb;
         txnOps = nextTxnOps;
         writes = new Limit("writes", writeRps, 1, loop::nanos);
@@ -91,9 +93,15 @@
         return was;
     }
 
-    /** Writes a value as another version might have left it. */
-    public void put(String key, JsonNode value) {
+    /** Writes a value as another version might have left it; returns its stamp. */
+    public long put(String key, JsonNode value) {
         keys.put(key, new Value(value, ++revision, 0));
+        return revision;
+    }
+
+    /** Transactions that were asked for. */
+    public int transactions() {
+        return transactions;
     }
 
     /** The value of a key, or null. */
@@ -212,6 +220,7 @@
         }
         writes.take(ops.size());
         mostChanges = Math.max(mostChanges, ops.size());
+        transactions++;
         if (ops.size() > txnOps || body.path("guards").size() > 4 * txnOps) {
             rejected++;
             throw new BadMessageException("too many");
