--- a/src/main/java/org/spruceridge/net/RateLimiter.java
+++ b/src/main/java/org/spruceridge/net/RateLimiter.java
@@ -25,9 +25,6 @@
     /** A user who would wait longer than this for a turn is better told at once to come back. */
     private static final double LONGEST_WAIT_S = 1;
 
-    /** Users come together: a node that has been idle takes this many changes of theirs at once. */
-    private static final int USERS_BURST = 4;
-
     private final Loop loop;
     private final Allowance requests;
     private final Allowance changes;
@@ -36,23 +33,27 @@
     private Cancellable wakeUp;
     private long taken;
 
-    /** The rates are those of requests, of changes, and of users' changes, a second. */
+    /** The rates are those of requests, of changes, and of users' changes, a second; users have no burst of their own. */
     public RateLimiter(Loop loop, double requestsPerS, double changesPerS, double usersChangesPerS) {
         this.loop = loop;
         this.requests = new Allowance(requestsPerS, 1, loop.nanos());
         this.changes = new Allowance(changesPerS, 1, loop.nanos());
-        this.usersChanges = new Allowance(usersChangesPerS, USERS_BURST, loop.nanos());
+        this.usersChanges = new Allowance(usersChangesPerS, 1, loop.nanos());
         for (Priority rank : Priority.values()) {
             queues.put(rank, new Queue());
         }
     }
 
-    /** Changes the rates, as when this node begins or ceases to lead. */
-    public void rates(double requestsPerS, double changesPerS, double usersChangesPerS) {
+    /**
+     * Changes the rates, as when this node begins or ceases to lead. Users come together: a node that has been idle takes
+     * {@code usersBurst} changes of theirs at once.
+     */
+    public void rates(double requestsPerS, double changesPerS, double usersChangesPerS, double usersBurst) {
         long now = loop.nanos();
         requests.rate(requestsPerS, now);
         changes.rate(changesPerS, now);
         usersChanges.rate(usersChangesPerS, now);
+        usersChanges.least(usersBurst);
     }
 
     /** Runs the work when its turn comes; false if too much is waiting already, and then it never runs. */
@@ -154,7 +155,7 @@
 
     /** A bucket that fills at a rate and holds one second's worth, or a least amount if that is more. */
     private static final class Allowance {
-        private final double least;
+        private double least;
         private double perS;
         private double held;
         private long at;
@@ -176,6 +177,13 @@
             held = Math.min(held, most());
         }
 
+        /** Holds at least so much when full. */
+        void least(double amount) {
+            double before = most();
+            least = Math.max(1, amount);
+            held = Math.min(held + Math.max(0, most() - before), most());
+        }
+
         /** More than a full bucket is lent once the bucket is full. */
         long waitFor(int count, long now) {
             fill(now);
--- a/src/main/java/org/spruceridge/node/Node.java
+++ b/src/main/java/org/spruceridge/node/Node.java
@@ -51,6 +51,12 @@
     private static final Logger LOG = LoggerFactory.getLogger(Node.class);
     /** The share of the state service's changes that is kept for what users ask of all nodes together. */
     private static final double USERS_SHARE = 0.35;
+    /**
+     * Users come together, and often to one node: one that has been idle takes as many of their changes at once as the
+     * service takes in this time. The service itself lends a second's worth.
+     */
+    private static final double USERS_BURST_S = 0.5;
+
     /** What is left unused of the limits, for the services' clocks and ours differ. */
     private static final double HEADROOM = 0.95;
 
@@ -200,9 +206,9 @@
         double usersShare = USERS_SHARE / nodes;
         // A follower has next to nothing of its own to write: an election, the catalogue.
         double ownShare = leading ? 1 - USERS_SHARE : usersShare;
-        stateLimiter.rates(reads, writes * ownShare, writes * usersShare);
+        stateLimiter.rates(reads, writes * ownShare, writes * usersShare, writes * USERS_BURST_S);
         double cloudShare = nodes == 1 ? 1 : leading ? 0.8 : 0.2 / (nodes - 1);
-        cloudLimiter.rates(settings.cloud().rps() * HEADROOM * cloudShare, 1, 1);
+        cloudLimiter.rates(settings.cloud().rps() * HEADROOM * cloudShare, 1, 1, 1);
     }
 
     /**
--- a/src/test/java/org/spruceridge/net/RateLimiterTest.java
+++ b/src/test/java/org/spruceridge/net/RateLimiterTest.java
@@ -6,6 +6,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.spruceridge.net.RateLimiter.Priority;
 import org.spruceridge.sim.SimLoop;
@@ -16,6 +17,11 @@
     private final RateLimiter limiter = new RateLimiter(loop, 10, 4, 2);
     private final List<String> ran = new ArrayList<>();
 
+    @BeforeEach
+    void usersHaveABurst() {
+        limiter.rates(10, 4, 2, 4);
+    }
+
     private boolean submit(Priority rank, int changes, String name) {
         return limiter.submit(rank, changes, () -> ran.add(name));
     }
@@ -63,6 +69,23 @@
         assertEquals(8, ran.size());
     }
 
+    /** Users come together to one node that was idle; what is lent to them at once is not lent again. */
+    @Test
+    void usersThatComeTogetherAreTakenAtOnce() {
+        limiter.rates(100, 4, 1, 8);
+        for (int i = 0; i < 5; i++) {
+            submit(Priority.SUBMISSIONS, 2, "s" + i);
+        }
+        assertEquals(4, ran.size());
+        limiter.rates(100, 4, 1, 4);
+        loop.run(20);
+        ran.clear();
+        for (int i = 0; i < 3; i++) {
+            submit(Priority.SUBMISSIONS, 2, "t" + i);
+        }
+        assertEquals(2, ran.size());
+    }
+
     @Test
     void aSubmissionThatWouldWaitLongIsTurnedAwayAtOnce() {
         assertTrue(submit(Priority.SUBMISSIONS, 4, "spends the users' share"));
