--- a/src/main/java/org/spruceridge/autoscaling/WarmCapacity.java
+++ b/src/main/java/org/spruceridge/autoscaling/WarmCapacity.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import org.spruceridge.cluster.Binding;
 import org.spruceridge.cluster.Cluster;
 import org.spruceridge.cluster.Job;
 import org.spruceridge.cluster.JobSpec;
@@ -120,17 +119,13 @@
         int most = 0;
         JobSpec example = null;
         for (Machine machine : cluster.machines()) {
-            int replicas = 0;
-            JobSpec last = null;
-            for (Binding b : machine.bindings()) {
-                if (b.job().spec().isService()) {
-                    replicas++;
-                    last = b.job().spec();
-                }
-            }
-            if (replicas > most) {
-                most = replicas;
-                example = last;
+            if (machine.replicas() > most) {
+                most = machine.replicas();
+                example = machine.bindings().stream()
+                        .map(b -> b.job().spec())
+                        .filter(JobSpec::isService)
+                        .findFirst()
+                        .orElseThrow();
             }
         }
         if (example != null) {
--- a/src/main/java/org/spruceridge/cluster/Machine.java
+++ b/src/main/java/org/spruceridge/cluster/Machine.java
@@ -17,6 +17,7 @@
     private final Set<String> failedJobs = new HashSet<>();
     private String address;
     private Resources used = Resources.NONE;
+    private int replicas;
     private long session;
     private long sequence;
     private long leastSession;
@@ -90,12 +91,15 @@
 
     void bind(Binding binding) {
         bindings.put(binding.task(), binding);
+        replicas += binding.job().spec().isService() ? 1 : 0;
         used = used.plus(binding.job().spec().task());
     }
 
     void unbind(Binding binding, long now) {
         vacate(binding);
-        bindings.remove(binding.task(), binding);
+        if (bindings.remove(binding.task(), binding)) {
+            replicas -= binding.job().spec().isService() ? 1 : 0;
+        }
         if (bindings.isEmpty()) {
             idleSince = now;
             used = Resources.NONE; // no rounding stays behind
@@ -110,6 +114,11 @@
         }
     }
 
+    /** How many of its bindings are of replicas of services. */
+    public int replicas() {
+        return replicas;
+    }
+
     /** What all tasks take together that may be on the machine. */
     public Resources used() {
         return used;
--- a/src/main/java/org/spruceridge/schedule/CycleState.java
+++ b/src/main/java/org/spruceridge/schedule/CycleState.java
@@ -185,7 +185,7 @@
             boolean zoneFits = capacity.machine().zone().equals(zone)
                     || zoneAllowed(job, capacity.machine().zone());
             if (zoneFits && capacity.fits(job.spec().task()) && mayRunOn(replica, capacity)) {
-                capacity.take(job.spec().task());
+                capacity.takeReplica(job.spec().task());
                 return true;
             }
         }
@@ -227,7 +227,11 @@
     /** Counts one task of the job as placed on the machine. */
     void place(Job job, MachineCapacity capacity) {
         JobSpec spec = job.spec();
-        capacity.take(spec.task());
+        if (spec.isService()) {
+            capacity.takeReplica(spec.task());
+        } else {
+            capacity.take(spec.task());
+        }
         teamUse.computeIfPresent(spec.team(), (team, used) -> used.plus(spec.task()));
         if (spec.isService()) {
             replicas(job).merge(capacity.machine(), 1, Integer::sum);
--- a/src/main/java/org/spruceridge/schedule/GroupCapacity.java
+++ b/src/main/java/org/spruceridge/schedule/GroupCapacity.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.function.Predicate;
 import org.spruceridge.cluster.Resources;
 
 /** The machines of one group that still have room for some waiting task in this cycle. */
@@ -37,23 +36,33 @@
         return false;
     }
 
-    /** The fullest machine that can take a task of the job now, or null. */
-    MachineCapacity fullestFor(WaitingJob waiting, CycleState state) {
-        return fullestFor(waiting, state, capacity -> true);
-    }
-
-    /** The same for a replica of a service, among machines with fewer than {@code most} replicas of it. */
-    MachineCapacity fullestFor(WaitingJob service, CycleState state, int most) {
-        return fullestFor(service, state, capacity -> state.replicasOn(capacity.machine(), service.job()) < most);
+    /**
+     * The machine that carries most replicas of any service among those that can take one more of this service and have
+     * fewer than {@code most} of it, or null.
+     */
+    MachineCapacity mostReplicasFor(WaitingJob service, CycleState state, int most) {
+        Resources task = service.job().spec().task();
+        MachineCapacity best = null;
+        for (MachineCapacity capacity : open) {
+            boolean better = best == null || capacity.replicas() > best.replicas();
+            if (better
+                    && capacity.fits(task)
+                    && state.eligible(service, capacity)
+                    && state.replicasOn(capacity.machine(), service.job()) < most) {
+                best = capacity;
+            }
+        }
+        return best;
     }
 
-    private MachineCapacity fullestFor(WaitingJob waiting, CycleState state, Predicate<MachineCapacity> admits) {
+    /** The fullest machine that can take a task of the job now, or null. */
+    MachineCapacity fullestFor(WaitingJob waiting, CycleState state) {
         Resources task = waiting.job().spec().task();
         MachineCapacity best = null;
         for (MachineCapacity capacity : open) {
             boolean fuller =
                     best == null || capacity.free().cpus() < best.free().cpus();
-            if (fuller && capacity.fits(task) && state.eligible(waiting, capacity) && admits.test(capacity)) {
+            if (fuller && capacity.fits(task) && state.eligible(waiting, capacity)) {
                 best = capacity;
             }
         }
--- a/src/main/java/org/spruceridge/schedule/MachineCapacity.java
+++ b/src/main/java/org/spruceridge/schedule/MachineCapacity.java
@@ -19,6 +19,7 @@
     private final int kindIndex;
     private Resources free;
     private int bindingCount;
+    private int replicas;
     private boolean reserved;
     private List<Departure> departures;
 
@@ -32,6 +33,7 @@
         this.kindIndex = kindIndex;
         this.free = type.capacity().minus(machine.used());
         this.bindingCount = machine.bindings().size();
+        this.replicas = machine.replicas();
     }
 
     Machine machine() {
@@ -66,6 +68,16 @@
         return task.fitsIn(free);
     }
 
+    /** How many replicas of services are on the machine. */
+    int replicas() {
+        return replicas;
+    }
+
+    void takeReplica(Resources task) {
+        take(task);
+        replicas++;
+    }
+
     void take(Resources task) {
         free = free.minus(task);
         bindingCount++;
--- a/src/main/java/org/spruceridge/schedule/Preemption.java
+++ b/src/main/java/org/spruceridge/schedule/Preemption.java
@@ -75,14 +75,20 @@
                 victims.add(victim);
             }
         }
-        stopCheapest(victims, wanted, spec.task());
+        stopCheapest(victims, wanted, spec);
     }
 
-    private void stopCheapest(List<Victim> victims, int wanted, Resources task) {
-        victims.sort(Comparator.comparingDouble(Victim::lossS));
+    /** Room for a replica is made on machines that have to be kept for replicas anyway. */
+    private void stopCheapest(List<Victim> victims, int wanted, JobSpec spec) {
+        Comparator<Victim> order = Comparator.comparingDouble(Victim::lossS);
+        if (spec.isService()) {
+            order = Comparator.comparingInt((Victim v) -> -v.site().capacity().replicas())
+                    .thenComparing(order);
+        }
+        victims.sort(order);
         for (Victim victim : victims.subList(0, Math.min(wanted, victims.size()))) {
             stops.add(victim.binding());
-            victim.site().stop(victim, task);
+            victim.site().stop(victim, spec.task());
         }
         sites.removeIf(site -> !site.isOfUse(smallestTask, highestRank));
     }
--- a/src/main/java/org/spruceridge/schedule/SchedulingCycle.java
+++ b/src/main/java/org/spruceridge/schedule/SchedulingCycle.java
@@ -102,9 +102,10 @@
     }
 
     /**
-     * Binds the replicas of a service, by the order of its entries, and spreads them over machines so that the failure of
-     * one takes few: a machine gets a second one only when no other can take it. All entries of a service come before
-     * those of jobs that it outscores, so that the walk would bind the same number.
+     * Binds the replicas of a service, on machines that carry replicas of others already, so that few machines have to be
+     * kept for services; but spread over machines, so that the failure of one takes few: a machine gets a second replica
+     * only when no other can take it. Equal machines are taken by the order of the service's entries. All of these come
+     * before those of jobs that it outscores, so that the walk would bind the same number.
      */
     private void placeReplicas(WaitingJob service, List<Entry> entries, Resources smallestTask) {
         List<GroupCapacity> ranked = entries.stream()
@@ -113,21 +114,24 @@
                 .toList();
         int tasks = service.job().spec().tasks();
         for (int most = 1; mayPlace(service) && most < 2 * tasks; most *= 2) {
-            for (GroupCapacity group : ranked) {
-                placeReplicasIn(group, service, most);
-                group.dropFull(smallestTask);
+            MachineCapacity next = nextFor(service, ranked, most);
+            while (next != null) {
+                place(service, next);
+                next = mayPlace(service) ? nextFor(service, ranked, most) : null;
             }
         }
+        ranked.forEach(group -> group.dropFull(smallestTask));
     }
 
-    private void placeReplicasIn(GroupCapacity group, WaitingJob service, int most) {
-        while (mayPlace(service)) {
-            MachineCapacity fullest = group.fullestFor(service, state, most);
-            if (fullest == null) {
-                return;
+    private MachineCapacity nextFor(WaitingJob service, List<GroupCapacity> ranked, int most) {
+        MachineCapacity best = null;
+        for (GroupCapacity group : ranked) {
+            MachineCapacity candidate = group.mostReplicasFor(service, state, most);
+            if (candidate != null && (best == null || candidate.replicas() > best.replicas())) {
+                best = candidate;
             }
-            place(service, fullest);
         }
+        return best;
     }
 
     private void place(WaitingJob waiting, MachineCapacity capacity) {
