--- a/src/main/java/org/spruceridge/api/JobsEndpoint.java
+++ b/src/main/java/org/spruceridge/api/JobsEndpoint.java
@@ -178,7 +178,7 @@
                 return;
             }
             JobRecord cancelled = record.get().ended(JobRecord.Stage.CANCELLED, loop.wallMillis());
-            long stamp = found.value().stamp(); // the marker was written with the record
+            long stamp = found.value().stamp(); // the open entry was written with the record
             Transaction txn = Transaction.builder()
                     .set(Keys.job(id), stamp, cancelled.write(valueBytes))
                     .drop(Keys.open(id), stamp)
--- a/src/main/java/org/spruceridge/autoscaling/Autoscaler.java
+++ b/src/main/java/org/spruceridge/autoscaling/Autoscaler.java
@@ -1,13 +1,8 @@
 package org.spruceridge.autoscaling;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.Lists;
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
@@ -16,7 +11,6 @@
 import org.slf4j.LoggerFactory;
 import org.spruceridge.cloud.CloudClient;
 import org.spruceridge.cloud.HostInfo;
-import org.spruceridge.cloud.Rental;
 import org.spruceridge.cluster.Binding;
 import org.spruceridge.cluster.Cluster;
 import org.spruceridge.cluster.Job;
@@ -39,32 +33,23 @@
     private static final double LEAST_PAID_S = 60;
 
     private static final long CATALOGUE_EVERY = Durations.nanos(60);
-    private static final long RETRY = Durations.nanos(2);
 
     private final Loop loop;
     private final CancellationScope scope;
     private final CloudClient cloud;
     private final Cluster cluster;
-    private final BindingReleaser recordWriter;
     private final Settings settings;
     private final Policy policy;
-    private final long term;
     private final BooleanSupplier leads;
     private final Supplier<Plan> lastPlan;
     private final Runnable changed;
     private final FailureDetector failureDetector;
     private final WarmCapacity warmCapacity;
-    private final Map<MachineKind, Long> refusedUntil = new HashMap<>();
-    private final Map<String, Claim> claims = new LinkedHashMap<>();
-    private final Set<String> deleting = new HashSet<>();
-    private final Set<String> unlisted = new HashSet<>();
-    private long claimCount;
+    private final RentalRequests rentals;
+    private final MachineReturns returns;
     private long lastTick;
     private long lastPlanned = Long.MIN_VALUE / 2;
 
-    /** A rental request that is on its way. */
-    private record Claim(MachineKind offer, int count, long askedAt) {}
-
     /** {@code leads} tells whether the lease of the leader still holds; {@code changed} asks for a scheduling cycle. */
     public Autoscaler(
             Loop loop,
@@ -82,15 +67,16 @@
         this.scope = scope;
         this.cloud = cloud;
         this.cluster = cluster;
-        this.recordWriter = recordWriter;
         this.settings = settings;
         this.policy = policy;
-        this.term = term;
         this.leads = leads;
         this.lastPlan = lastPlan;
         this.changed = changed;
         this.failureDetector = new FailureDetector(loop, cluster, settings, policy);
         this.warmCapacity = new WarmCapacity(settings, loop.nanos());
+        CloudAccess access = new CloudAccess(loop, scope, cloud, cluster, leads);
+        this.rentals = new RentalRequests(access, term, settings.workers().leaseS());
+        this.returns = new MachineReturns(access, recordWriter, changed);
         this.lastTick = loop.nanos();
     }
 
@@ -107,14 +93,15 @@
                 cluster.types(types);
                 changed.run();
             });
-            scope.after(answer.isPresent() ? CATALOGUE_EVERY : RETRY, this::refreshCatalogue);
+            scope.after(answer.isPresent() ? CATALOGUE_EVERY : CloudAccess.RETRY, this::refreshCatalogue);
         }));
     }
 
     private void refreshList() {
         cloud.machines(scope.guard(answer -> {
             answer.ifPresent(this::takeList);
-            scope.after(Math.max(RETRY, Durations.nanos(settings.cloud().listLagS() / 2)), this::refreshList);
+            scope.after(
+                    Math.max(CloudAccess.RETRY, Durations.nanos(settings.cloud().listLagS() / 2)), this::refreshList);
         }));
     }
 
@@ -150,11 +137,9 @@
             if (host.stage() == HostInfo.Stage.FAILED) {
                 if (machine != null) {
                     LOG.info("machine {} has failed", machine.name());
-                    gone(machine);
-                }
-                if (unlisted.add(host.name())) {
-                    failed.add(host.name());
+                    returns.gone(machine);
                 }
+                failed.add(host.name());
                 continue;
             }
             if (machine == null && !cluster.isGone(host.name())) {
@@ -166,13 +151,7 @@
                 machine.rentedAt(Math.min(machine.rentedAt(), now - Durations.nanos(host.ageS())));
             }
         }
-        for (List<String> part : Lists.partition(failed, CloudClient.MOST_DELETED)) {
-            cloud.delete(part, scope.guard(ok -> {
-                if (!ok) {
-                    part.forEach(unlisted::remove);
-                }
-            }));
-        }
+        returns.unlist(failed);
     }
 
     private void endLeases() {
@@ -182,30 +161,14 @@
                     m.name(),
                     m.bindings().size());
             m.endSession();
-            releaseAll(m);
-        }
-    }
-
-    private void releaseAll(Machine m) {
-        for (Binding b : ImmutableList.copyOf(m.bindings())) {
-            if (b.stage() == Binding.Stage.ORPHANED) {
-                cluster.unbind(b, loop.nanos());
-            } else {
-                recordWriter.release(b, false);
-            }
+            returns.releaseAll(m);
         }
     }
 
     /** Deletes machines that have to be given up; the deletion proves that their tasks are gone. */
     private void deleteFailed() {
-        deleteAll(failureDetector.withOverdueStops(), "cancelled tasks that do not end");
-        deleteAll(failureDetector.lost(), "lost or never up");
-    }
-
-    private void deleteAll(List<Machine> machines, String why) {
-        if (!machines.isEmpty()) {
-            delete(machines, why);
-        }
+        returns.delete(failureDetector.withOverdueStops(), "cancelled tasks that do not end");
+        returns.delete(failureDetector.lost(), "lost or never up");
     }
 
     private void rentAndReturn() {
@@ -215,10 +178,7 @@
         }
         long now = loop.nanos();
         List<WarmCapacity.Wanted> standingBy = warmCapacity.wanted(cluster, now, loop.wallMillis());
-        ScaleUpPlanner planner = new ScaleUpPlanner(
-                cluster,
-                offer -> refusedUntil.getOrDefault(offer, Long.MIN_VALUE) <= now,
-                smallestTask(plan, standingBy));
+        ScaleUpPlanner planner = new ScaleUpPlanner(cluster, rentals::available, smallestTask(plan, standingBy));
         List<Machine> here = new ArrayList<>();
         for (Machine m : cluster.machines()) {
             if (m.returning() || m.unschedulable()) {
@@ -230,11 +190,11 @@
                 planner.add(m);
             }
         }
-        for (Claim claim : claims.values()) {
-            for (int i = 0; i < claim.count; i++) {
-                planner.add(claim.offer);
+        rentals.forEachPending((offer, count) -> {
+            for (int i = 0; i < count; i++) {
+                planner.add(offer);
             }
-        }
+        });
         for (Machine m : here) {
             planner.addFreed(m, freedWithinBoot(m, now));
         }
@@ -242,7 +202,7 @@
         here.forEach(planner::add); // standing by may count on room that the cycle left free
         standingBy.forEach(wanted ->
                 planner.place(wanted.example(), wanted.tasks(), ZoneAllowance.of(wanted.example(), wanted.tasks())));
-        planner.wanted().forEach(this::rent);
+        planner.wanted().forEach(rentals::rent);
         returnIdle(planner.kept(), now);
     }
 
@@ -275,61 +235,6 @@
                         < 2 * settings.workers().reportS();
     }
 
-    private void rent(MachineKind offer, int count) {
-        String name = term + "-" + (++claimCount);
-        Claim claim = new Claim(offer, Math.min(count, CloudClient.MOST_RENTED), loop.nanos());
-        claims.put(name, claim);
-        LOG.info(
-                "renting {} {} in {}, {}, as {}",
-                claim.count,
-                offer.type(),
-                offer.zone(),
-                offer.spot() ? "spot" : "ordinary",
-                name);
-        ask(name, claim);
-    }
-
-    private void ask(String name, Claim claim) {
-        if (!leads.getAsBoolean()) {
-            scope.after(RETRY, () -> ask(name, claim));
-            return;
-        }
-        MachineKind offer = claim.offer;
-        cloud.rent(name, offer.type(), offer.zone(), offer.spot(), claim.count, scope.guard(rental -> {
-            if (rental.kind() == Rental.Kind.UNKNOWN) {
-                // Machines may have been rented: the same claim asks what came of it and rents nothing twice.
-                scope.after(RETRY, () -> ask(name, claim));
-                return;
-            }
-            claims.remove(name);
-            rented(name, claim, rental);
-        }));
-    }
-
-    private void rented(String name, Claim claim, Rental rental) {
-        long now = loop.nanos();
-        MachineKind offer = claim.offer;
-        for (String id : rental.machines()) {
-            if (cluster.machine(id) == null && !cluster.isGone(id)) {
-                Machine m = new Machine(id, "", offer, now, now);
-                m.rentedAt(claim.askedAt);
-                cluster.add(m);
-            }
-        }
-        if (rental.machines().size() < claim.count) {
-            LOG.info(
-                    "claim {}: {}, {} machines",
-                    name,
-                    rental.kind(),
-                    rental.machines().size());
-            double bootS = cluster.types().containsKey(offer.type())
-                    ? cluster.types().get(offer.type()).bootS()
-                    : settings.workers().leaseS();
-            boolean full = rental.kind() == Rental.Kind.NO_CAPACITY || rental.kind() == Rental.Kind.RENTED;
-            refusedUntil.put(offer, now + (full ? Durations.nanos(bootS) : RETRY));
-        }
-    }
-
     private void returnIdle(Set<Machine> kept, long now) {
         List<Machine> idle = new ArrayList<>();
         for (Machine m : cluster.machines()) {
@@ -345,7 +250,7 @@
                 idle.add(m);
             }
         }
-        deleteAll(idle, "idle or of no use");
+        returns.delete(idle, "idle or of no use");
     }
 
     /** Its reach came into doubt a moment ago, and it has been asked for a sign. */
@@ -369,38 +274,4 @@
                                 && b.phase() == Binding.Phase.ABSENT
                                 && m.unresolved().contains(b.attempt()));
     }
-
-    private void delete(List<Machine> machines, String why) {
-        if (!leads.getAsBoolean()) {
-            // Tried again after the grant is over: another may lead by now, and have given the machine work.
-            scope.after(RETRY, () -> delete(machines, why));
-            return;
-        }
-        List<Machine> fresh = new ArrayList<>();
-        for (Machine m : machines) {
-            m.returning(true);
-            if (deleting.add(m.name())) {
-                fresh.add(m);
-            }
-        }
-        for (List<Machine> part : Lists.partition(fresh, CloudClient.MOST_DELETED)) {
-            List<String> names = part.stream().map(Machine::name).toList();
-            LOG.info("returning {}: {}", names, why);
-            cloud.delete(names, scope.guard(ok -> {
-                names.forEach(deleting::remove);
-                if (ok) {
-                    part.forEach(this::gone);
-                } else {
-                    scope.after(RETRY, () -> delete(part, why));
-                }
-            }));
-        }
-    }
-
-    /** There is proof that the machine is gone, with everything on it. */
-    private void gone(Machine m) {
-        releaseAll(m);
-        cluster.remove(m);
-        changed.run();
-    }
 }
--- a/src/main/java/org/spruceridge/cli/RehearseCommand.java
+++ b/src/main/java/org/spruceridge/cli/RehearseCommand.java
@@ -65,7 +65,7 @@
             loop.execute(() -> client.call(settings.serveOn(), call, PATIENCE, answer -> answered.countDown()));
         }
         answered.await();
-        TimeUnit.MILLISECONDS.sleep(1500); // beacons, retries
+        TimeUnit.MILLISECONDS.sleep(1500); // heartbeats, retries
         loadOwnClasses();
         return 0;
     }
--- a/src/main/java/org/spruceridge/cluster/Job.java
+++ b/src/main/java/org/spruceridge/cluster/Job.java
@@ -25,7 +25,7 @@
     private int earlyExits;
     private long lastEarlyExit = Long.MIN_VALUE / 2;
 
-    /** {@code stamp} is that of the job's record and of its marker, which are written together. */
+    /** {@code stamp} is that of the job's record and of its open entry, which are written together. */
     public Job(JobSpec spec, long stamp, long submittedMs) {
         this.spec = spec;
         this.stamp = stamp;
@@ -42,7 +42,7 @@
         return spec;
     }
 
-    /** The revision at which the record and the marker of the job were written. */
+    /** The revision at which the record and the open entry of the job were written. */
     public long stamp() {
         return stamp;
     }
--- a/src/main/java/org/spruceridge/leader/Election.java
+++ b/src/main/java/org/spruceridge/leader/Election.java
@@ -190,16 +190,16 @@
         }
         known = record;
         boolean mine = record.isPresent() && record.get().hostName().equals(hostName);
-        boolean thisLife = mine && record.get().incarnation().equals(incarnation);
+        boolean thisIncarnation = mine && record.get().incarnation().equals(incarnation);
         if (leaderTerm != null) {
-            if (thisLife && record.get().term() == leaderTerm.term()) {
+            if (thisIncarnation && record.get().term() == leaderTerm.term()) {
                 return;
             }
             lose();
         }
         if (record.isEmpty()) {
             campaign(0);
-        } else if (thisLife) {
+        } else if (thisIncarnation) {
             // A campaign whose outcome was unknown has been carried out; its grant is not to be relied on.
             campaign(stamp);
         } else if (mine) {
@@ -208,8 +208,8 @@
     }
 
     /**
-     * Our host name under another life: that process is dead, for a host runs one at a time, so nobody need wait for the
-     * end of its grant. Nodes that have been up all the time come first: they are faster than one that has just begun.
+     * Our host name under another incarnation: that process is dead, for a host runs one at a time, so nobody need wait for
+     * the end of its grant. Nodes that have been up all the time come first: they are faster than one that has just begun.
      */
     private void release(long stamp) {
         if (others) {
--- a/src/main/java/org/spruceridge/leader/JobWatcher.java
+++ b/src/main/java/org/spruceridge/leader/JobWatcher.java
@@ -24,7 +24,7 @@
 import org.spruceridge.state.Result;
 import org.spruceridge.state.StateClient;
 
-/** Learns of accepted and cancelled jobs by watching the markers of unfinished jobs. */
+/** Learns of accepted and cancelled jobs by watching the open entries of unfinished jobs. */
 public final class JobWatcher {
     private static final long RETRY = Durations.millis(250);
 
--- a/src/main/java/org/spruceridge/leader/RecordWriter.java
+++ b/src/main/java/org/spruceridge/leader/RecordWriter.java
@@ -136,7 +136,7 @@
         settle(job);
     }
 
-    /** True if the end of this job is on its way, so that the drop of its marker is our own doing. */
+    /** True if the end of this job is on its way, so that the drop of its open entry is our own doing. */
     public boolean finishing(Job job) {
         return inFlight != null && inFlight.finishes(job);
     }
--- a/src/main/java/org/spruceridge/leader/Takeover.java
+++ b/src/main/java/org/spruceridge/leader/Takeover.java
@@ -199,7 +199,7 @@
     private void closeEnded() {
         for (Job job : ImmutableList.copyOf(cluster.jobs())) {
             if (endedMs.containsKey(job.id())) {
-                // A job whose marker is gone while tasks are bound was cancelled. What is left of its time is not
+                // A job whose open entry is gone while tasks are bound was cancelled. What is left of its time is not
                 // begun anew with each leader.
                 long agoMs = Math.max(0, loop.wallMillis() - endedMs.get(job.id()));
                 job.cancel(loop.nanos() - Durations.millis(agoMs), loop.nanos());
--- a/src/main/java/org/spruceridge/leader/WriteBatch.java
+++ b/src/main/java/org/spruceridge/leader/WriteBatch.java
@@ -24,7 +24,7 @@
 
 /** The making of one transaction, within the limits that the state service sets. */
 final class WriteBatch {
-    /** The record of a job's end and its marker. */
+    /** The record of a job's end and the drop of its open entry. */
     private static final int OPS_OF_AN_END = 2;
     /** Room in the body for the records of ended jobs, beside the pages. */
     private static final int MOST_ENDS_BYTES = 10 << 10;
@@ -36,7 +36,7 @@
     private final Set<Page<Chunk>> chunks = new LinkedHashSet<>();
     private final Map<Binding, Boolean> released = new LinkedHashMap<>();
     private final Set<Binding> bound = new LinkedHashSet<>();
-    private final Set<Job> markers = new HashSet<>();
+    private final Set<Job> guardedJobs = new HashSet<>();
     private final Map<Chunk, BitSet> ending = new HashMap<>();
     private final Map<Job, Integer> newlyDone = new HashMap<>();
     private final Map<Job, JsonNode> finished = new LinkedHashMap<>();
@@ -140,7 +140,7 @@
         if (!fits(page, chunkPage, end != null, endBytes, null)) {
             return false;
         }
-        if (page == null) { // a stray, which no record knows: some page must carry the name of this write
+        if (page == null) { // an orphan, which no record knows: some page must carry the name of this write
             page = pageFor(b.machine());
             records.bindings().put(b.machine(), page);
         }
@@ -179,7 +179,7 @@
         records.bindings().put(machine, page);
         bindings.add(page);
         bound.add(b);
-        markers.add(b.job());
+        guardedJobs.add(b.job());
         return true;
     }
 
@@ -199,7 +199,7 @@
         // Were this write to fail, the machine is still recorded where it was.
         undo.add(() -> records.bindings().put(machine, from));
         bound.add(b);
-        markers.add(b.job());
+        guardedJobs.add(b.job());
         return true;
     }
 
@@ -220,11 +220,13 @@
         return bindings.size() + chunks.size() + OPS_OF_AN_END * finished.size();
     }
 
-    private boolean fits(Page<Machine> page, Page<Chunk> chunkPage, boolean end, int endBytes, Job marker) {
+    private boolean fits(Page<Machine> page, Page<Chunk> chunkPage, boolean end, int endBytes, Job guarded) {
         int pages = (bindings.contains(page) ? 0 : 1) + (chunkPage == null || chunks.contains(chunkPage) ? 0 : 1);
         int ops = ops() + pages + (end ? OPS_OF_AN_END : 0);
-        // A guard is kept for each page that may yet come: else the markers of many jobs leave room for one page only.
-        int guards = 1 + records.txnOps() + markers.size() + (marker == null || markers.contains(marker) ? 0 : 1);
+        // A guard is kept for each page that may yet come: else the open entries of many jobs leave room for one page
+        // only.
+        int guards =
+                1 + records.txnOps() + guardedJobs.size() + (guarded == null || guardedJobs.contains(guarded) ? 0 : 1);
         boolean fits = ops <= records.txnOps()
                 && guards <= 4 * records.txnOps()
                 && (pages == 0 || bindings.size() + chunks.size() + pages <= records.mostPages())
@@ -245,7 +247,7 @@
 
     private Transaction build() {
         Transaction.Builder txn = Transaction.builder().guard(Keys.LEADER, term.leaderStamp());
-        markers.forEach(job -> txn.guard(Keys.open(job.id()), job.stamp()));
+        guardedJobs.forEach(job -> txn.guard(Keys.open(job.id()), job.stamp()));
         bindings.forEach(p -> txn.set(p.key(), p.stamp(), records.bindingsPage(write, p, this::recorded)));
         chunks.forEach(p -> txn.set(p.key(), p.stamp(), records.finishedPage(write, p, ending)));
         finished.forEach((job, end) -> {
--- a/src/main/java/org/spruceridge/node/Node.java
+++ b/src/main/java/org/spruceridge/node/Node.java
@@ -144,8 +144,9 @@
     }
 
     private void lookWhetherReady(Runnable ready) {
-        boolean knowsLeader =
-                steward().filter(name -> !name.equals(settings.hostName())).isPresent();
+        boolean knowsLeader = leaderForWorkers()
+                .filter(name -> !name.equals(settings.hostName()))
+                .isPresent();
         if (leader == null ? knowsLeader : leader.upToDate()) {
             ready.run();
         } else {
@@ -218,7 +219,7 @@
     private Response report(byte[] body) {
         lastReport = loop.nanos();
         if (!election.leads() || leader == null || !leader.upToDate()) {
-            return steward()
+            return leaderForWorkers()
                     .filter(name -> !name.equals(settings.hostName()))
                     .map(name -> elsewhere.computeIfAbsent(name, Order::elsewhere))
                     .orElse(nobodyLeads);
@@ -271,7 +272,7 @@
     }
 
     /** The leader, if there is fresh word of it: a node cut off from the others must not hold or misguide workers. */
-    private Optional<String> steward() {
+    private Optional<String> leaderForWorkers() {
         return stateServes() ? election.leaderName() : peers.leader();
     }
 
@@ -350,7 +351,7 @@
     /** Asks the state service for something small, to know whether it serves this node. */
     private void pulse() {
         yieldIfCutOff();
-        if (leader == null && steward().isPresent()) {
+        if (leader == null && leaderForWorkers().isPresent()) {
             warmUp.start();
         }
         state.get(Keys.LEADER, Priority.RENEWAL, scope.guard(found -> scope.after(PULSE, this::pulse)));
--- a/src/main/java/org/spruceridge/record/JobRecord.java
+++ b/src/main/java/org/spruceridge/record/JobRecord.java
@@ -9,7 +9,7 @@
 
 /**
  * The record of a job: what was submitted, when, and how and when it has ended ({@code endedMs}, 0 if not known). The
- * marker of an open job has the same form.
+ * open entry of an unfinished job has the same form.
  */
 public record JobRecord(JobSpec spec, long submittedMs, Stage stage, long endedMs) {
     /** What the state service may count beside the value itself. */
--- a/src/main/java/org/spruceridge/record/Keys.java
+++ b/src/main/java/org/spruceridge/record/Keys.java
@@ -22,7 +22,7 @@
         return JOBS + id;
     }
 
-    /** The marker of an unfinished job, which is written with its record and dropped with its end. */
+    /** The open entry of an unfinished job, which is written with its record and dropped with its end. */
     public static String open(String id) {
         return OPEN + id;
     }
--- a/src/test/java/org/spruceridge/leader/WriteBatchTest.java
+++ b/src/test/java/org/spruceridge/leader/WriteBatchTest.java
@@ -109,11 +109,12 @@
                     .forEach(b -> keys.add(records.bindings().of(b.machine()).key()));
         }
         int pages = keys.size();
-        // A transaction guards the markers of so many jobs beside the leader key and its pages. Those of 60 jobs do not
+        // A transaction guards the open entries of so many jobs beside the leader key and its pages. Those of 60 jobs
+        // do not
         // go
         // into one, so that each page is written twice at most, or more often where that takes more transactions.
-        int markers = 4 * limits.txnOps() - 1 - limits.txnOps();
-        int timesWritten = Math.max(2, (60 + markers - 1) / markers);
+        int guardedJobs = 4 * limits.txnOps() - 1 - limits.txnOps();
+        int timesWritten = Math.max(2, (60 + guardedJobs - 1) / guardedJobs);
         int most = timesWritten * (1 + pages / Math.min(records.mostPages(), limits.txnOps()));
         assertTrue(transactions <= most, transactions + " transactions for " + pages + " pages");
         int recorded = 0;
--- a/src/test/java/org/spruceridge/peer/HeartbeatTest.java
+++ b/src/test/java/org/spruceridge/peer/HeartbeatTest.java
@@ -22,7 +22,7 @@
             new MemberVersion(2, "0.2.0"));
 
     @Test
-    void aBeaconIsReadAsItWasWritten() throws BadMessageException {
+    void aHeartbeatIsReadAsItWasWritten() throws BadMessageException {
         assertEquals(heartbeat, Heartbeat.read(heartbeat.write()));
     }
 
