--- a/src/main/java/org/spruceridge/schedule/Preemption.java
+++ b/src/main/java/org/spruceridge/schedule/Preemption.java
@@ -86,9 +86,13 @@
                     .thenComparing(order);
         }
         victims.sort(order);
-        for (Victim victim : victims.subList(0, Math.min(wanted, victims.size()))) {
+        int left = wanted;
+        for (Victim victim : victims) {
+            if (left <= 0) {
+                break;
+            }
             stops.add(victim.binding());
-            victim.site().stop(victim, spec.task());
+            left -= victim.site().stop(victim, spec.task(), left);
         }
         sites.removeIf(site -> !site.isOfUse(smallestTask, highestRank));
     }
--- a/src/main/java/org/spruceridge/schedule/PreemptionSite.java
+++ b/src/main/java/org/spruceridge/schedule/PreemptionSite.java
@@ -105,9 +105,13 @@
                 expectedFree.memGb() + freed.memGb());
     }
 
-    /** The victim is stopped for a task of this size; nothing else is stopped here in this cycle. */
-    void stop(Victim victim, Resources task) {
-        expectedFree = expectedFree.plus(victim.binding.job().spec().task()).minus(task);
+    /**
+     * The victim is stopped for at most {@code wanted} tasks of this size; returns for how many it makes room. Nothing else is
+     * stopped here in this cycle.
+     */
+    int stop(Victim victim, Resources task, int wanted) {
+        expectedFree = expectedFree.plus(victim.binding.job().spec().task());
         victims.clear();
+        return claimExpected(task, wanted);
     }
 }
--- a/src/test/java/org/spruceridge/schedule/MatchingTest.java
+++ b/src/test/java/org/spruceridge/schedule/MatchingTest.java
@@ -293,6 +293,120 @@
         assertEquals(0, plan().stops().size());
     }
 
+    /** A stop that makes room for several tasks is enough for them: one for each would throw away work for nothing. */
+    @Test
+    void aStopCountsForAllTasksThatItMakesRoomFor() {
+        JobMaker low = job();
+        low.rank = JobPriority.LOW;
+        low.tasks = 3;
+        low.cpus = 8;
+        Job victims = low.add();
+        for (int i = 0; i < 3; i++) {
+            running(victims, i, machine("m" + i, "a", false));
+        }
+        JobMaker high = job();
+        high.rank = JobPriority.HIGH;
+        high.tasks = 5;
+        high.cpus = 2;
+        high.estimateS = 30;
+        high.deadlineS = OptionalDouble.of(40);
+        high.add();
+        assertEquals(2, plan().stops().size());
+    }
+
+    private JobMaker service(int replicas, double cpus) {
+        JobMaker service = job();
+        service.kind = JobKind.SERVICE;
+        service.rank = JobPriority.PRODUCTION;
+        service.tasks = replicas;
+        service.cpus = cpus;
+        service.estimateS = 0;
+        return service;
+    }
+
+    /** It has no deadline, and is urgent all the same. */
+    @Test
+    void aServiceComesFirstAndHasOthersStopped() {
+        Machine full = machine("full", "a", false);
+        JobMaker low = job();
+        low.tasks = 2;
+        Job batch = low.add();
+        running(batch, 0, full);
+        running(batch, 1, full);
+        machine("free", "a", false);
+        JobMaker urgent = job();
+        urgent.deadlineS = OptionalDouble.of(40);
+        urgent.tasks = 2;
+        urgent.add();
+        Job service = service(3, 4).add();
+        Plan plan = plan();
+        assertEquals(
+                List.of(service, service),
+                plan.placements().stream().map(Plan.Placement::job).toList());
+        assertEquals(List.of("free", "free"), machines(plan));
+        assertEquals(1, plan.stops().size());
+    }
+
+    /** Each on a machine of its own as long as there are any, and first on those that carry replicas already. */
+    @Test
+    void replicasGoToMachinesWithReplicasAndApart() {
+        Machine first = machine("first", "a", false);
+        Machine second = machine("second", "a", false);
+        machine("third", "a", false);
+        Job other = service(2, 1).add();
+        running(other, 0, second);
+        running(other, 1, second);
+        running(job().add(), 0, first);
+        service(2, 1).add();
+        assertEquals(List.of("second", "first"), machines(plan()));
+    }
+
+    @Test
+    void aSecondReplicaGoesToAMachineOnlyWhenNoOtherTakesIt() {
+        machine("first", "a", false);
+        machine("second", "a", false);
+        service(5, 1).add();
+        List<String> placed = machines(plan());
+        assertEquals(2, placed.subList(0, 2).stream().distinct().count());
+        assertEquals(5, placed.size());
+        assertTrue(placed.stream().filter("first"::equals).count() >= 2);
+        assertTrue(placed.stream().filter("second"::equals).count() >= 2);
+    }
+
+    /** A replica does not end: no capacity is reserved where only its end would make room. */
+    @Test
+    void nothingIsReservedForTheEndOfAReplica() {
+        Machine m = machine("m", "a", false);
+        running(service(1, 4).add(), 0, m);
+        JobMaker large = job();
+        large.cpus = 8;
+        large.add();
+        JobMaker small = job();
+        small.estimateS = 300;
+        Job placed = small.add();
+        assertEquals(
+                List.of(placed),
+                plan().placements().stream().map(Plan.Placement::job).toList());
+    }
+
+    /** A machine is about to be taken: its replica is stopped if there is room for it elsewhere, which others do not get. */
+    @Test
+    void aReplicaMovesWhereRoomIsKeptForIt() {
+        Machine leaving = machine("leaving", "a", false);
+        Binding replica = running(service(1, 8).add(), 0, leaving);
+        leaving.reclaimAt(NOW + 60_000_000_000L);
+        assertEquals(List.of(), plan().moves());
+        machine("other", "a", false);
+        job().add();
+        Plan plan = plan();
+        assertEquals(List.of(replica), plan.moves());
+        assertEquals(List.of(), machines(plan));
+        replica.halt(Binding.Halt.SAVING);
+        Plan next = plan();
+        assertEquals(List.of(), next.moves());
+        assertEquals(List.of(), machines(next), "the room is kept until the replica is gone");
+    }
+
     @Test
     void workOfTheSameRankIsNeverStopped() {
         Machine m = machine("m", "a", false);
