--- a/src/main/java/org/spruceridge/schedule/PreemptionSite.java
+++ b/src/main/java/org/spruceridge/schedule/PreemptionSite.java
@@ -106,8 +106,8 @@
     }
 
     /**
-     * The victim is stopped for at most {@code wanted} tasks of this size; returns for how many it makes room. Nothing else is
-     * stopped here in this cycle.
+     * The victim is stopped for at most {@code wanted} tasks of this size; returns for how many it makes room. Nothing else
+     * is stopped here in this cycle.
      */
     int stop(Victim victim, Resources task, int wanted) {
         expectedFree = expectedFree.plus(victim.binding.job().spec().task());
