--- a/src/main/java/org/spruceridge/autoscaling/FailureDetector.java
+++ b/src/main/java/org/spruceridge/autoscaling/FailureDetector.java
@@ -30,14 +30,14 @@
     private final CancellationTimes times;
     private long behindUntil = Long.MIN_VALUE;
 
-    /** How many machines of a zone there are, and how many of them are in touch. */
+    /** A zone from which nothing was heard for so many report periods is cut off, or this node is. */
+    private static final double CUT_OF_REPORT = 1.5;
+
+    /** How many machines of a zone there are, how many of them are in touch, and when one was last heard. */
     private static final class ZoneCount {
         private int machines;
         private int inTouch;
-
-        boolean mostInTouch() {
-            return inTouch * 2 > machines;
-        }
+        private long lastHeard = Long.MIN_VALUE;
     }
 
     FailureDetector(Loop loop, Cluster cluster, Settings settings, Policy policy) {
@@ -116,6 +116,7 @@
                 ZoneCount count = zones.computeIfAbsent(m.zone(), z -> new ZoneCount());
                 count.machines++;
                 count.inTouch += outOfTouchS(m, now) < silentS() ? 1 : 0;
+                count.lastHeard = Math.max(count.lastHeard, m.lastHeard());
             }
         }
         return zones;
@@ -138,7 +139,17 @@
         double silentForS = outOfTouchS(m, now);
         // One that this leader has not heard at all may still be looking for it, with all the others.
         boolean silent = silentForS > (m.fenced() ? silentS() : leaseS);
-        return silent && (zone.mostInTouch() || silentForS > LEASES_OF_A_CUT_ZONE * leaseS);
+        return silent && (inTouch(zone, now) || silentForS > LEASES_OF_A_CUT_ZONE * leaseS);
+    }
+
+    /**
+     * True if most machines of a zone are in touch. That alone would not do: as a zone is cut off, those that reported
+     * first are silent for long enough while most others are not yet.
+     */
+    private boolean inTouch(ZoneCount zone, long now) {
+        double quietS = Durations.secondsSince(zone.lastHeard, now);
+        return zone.inTouch * 2 > zone.machines
+                && quietS < CUT_OF_REPORT * settings.workers().reportS();
     }
 
     /** How long the machine has not been heard, or has been heard without doing as it was told. */
