--- a/src/main/java/org/spruceridge/leader/Election.java
+++ b/src/main/java/org/spruceridge/leader/Election.java
@@ -111,9 +111,9 @@
         return leaderTerm != null && loop.nanos() < validUntil;
     }
 
-    /** The leader, as far as is known. */
-    public Optional<LeaderRecord> leader() {
-        return known;
+    /** The name of the leader, as far as is known. */
+    public Optional<String> leaderName() {
+        return known.map(LeaderRecord::hostName);
     }
 
     /** Gives the lead up, as when the records are not as this node left them. */
--- a/src/main/java/org/spruceridge/node/Node.java
+++ b/src/main/java/org/spruceridge/node/Node.java
@@ -39,7 +39,6 @@
 import org.spruceridge.peer.PeerMonitor;
 import org.spruceridge.peer.PeerTransport;
 import org.spruceridge.record.Keys;
-import org.spruceridge.record.LeaderRecord;
 import org.spruceridge.state.StateClient;
 import org.spruceridge.upgrade.ClusterLevel;
 import org.spruceridge.upgrade.FeatureLevel;
@@ -67,9 +66,6 @@
     /** After it has given the lead up for that, it does not do so again for this many leases. */
     private static final double STAY_OF_LEASE = 10;
 
-    /** A leader whose heartbeats have ceased for this share of a lease gets no workers sent to it. */
-    private static final double SILENCE_OF_LEASE = 0.25;
-
     private static final long PULSE = Durations.nanos(1);
     private static final long LOOK_WHETHER_READY = Durations.millis(50);
     private static final long CUT_OFF = Durations.nanos(3);
@@ -94,7 +90,6 @@
     private final Cancellations cancellations;
     private final LeaderWarmUp warmUp;
     private final Map<String, Response> elsewhere = new HashMap<>();
-    private final long silenceOfLeader;
     private final Response nobodyLeads = Response.error(503, "no leader known");
     private Leader leader;
     private boolean ratesFell;
@@ -110,7 +105,6 @@
         this.policy = policy;
         this.warnings = new RateLimitedWarnings(loop);
         this.lastReport = loop.nanos();
-        this.silenceOfLeader = Durations.nanos(settings.workers().leaseS() * SILENCE_OF_LEASE);
         this.latencies = new Latencies(loop);
         this.stateLimiter = new RateLimiter(loop, 1, 1, 1);
         this.cloudLimiter = new RateLimiter(loop, 1, 1, 1);
@@ -225,7 +219,7 @@
     private Response report(byte[] body) {
         lastReport = loop.nanos();
         if (!election.leads() || leader == null || !leader.upToDate()) {
-            return leaderInTouch()
+            return leaderForWorkers()
                     .filter(name -> !name.equals(settings.hostName()))
                     .map(name -> elsewhere.computeIfAbsent(name, Order::elsewhere))
                     .orElse(nobodyLeads);
@@ -279,19 +273,7 @@
 
     /** The leader, if there is fresh word of it: a node cut off from the others must not hold or misguide workers. */
     private Optional<String> leaderForWorkers() {
-        return stateServes() ? election.leader().map(LeaderRecord::hostName) : peers.leader();
-    }
-
-    /**
-     * The leader to which a worker is sent. One that has fallen silent keeps its key until its grant ends, and a worker sent
-     * back to it would wait for an answer in vain until its lease is over.
-     */
-    private Optional<String> leaderInTouch() {
-        boolean silent = stateServes()
-                && election.leader()
-                        .filter(l -> peers.fellSilent(l.hostName(), l.term(), silenceOfLeader))
-                        .isPresent();
-        return silent ? Optional.empty() : leaderForWorkers();
+        return stateServes() ? election.leaderName() : peers.leader();
     }
 
     /**
--- a/src/main/java/org/spruceridge/peer/PeerMonitor.java
+++ b/src/main/java/org/spruceridge/peer/PeerMonitor.java
@@ -103,12 +103,6 @@
                 && last.heartbeat.version().supports() >= level.number();
     }
 
-    /** True if this node was heard as the leader of this term, and then not for so long. */
-    public boolean fellSilent(String host, long term, long silence) {
-        Heard last = heard.get(host);
-        return last != null && last.heartbeat.term() == term && loop.nanos() - last.at > Math.max(FRESH, silence);
-    }
-
     /** True if workers lately reached another node. */
     public boolean anyReached() {
         return anyFresh(Heartbeat::workersReach);
