--- a/src/test/java/org/spruceridge/scenario/UpgradeScenarioTest.java
+++ b/src/test/java/org/spruceridge/scenario/UpgradeScenarioTest.java
@@ -148,6 +148,27 @@
         cluster.until(this::raised, 30);
     }
 
+    /** What a node last said counts only as long as it is heard: it may be coming back with the old version. */
+    @Test
+    void aNodeThatIsDownKeepsTheLevel() {
+        lead();
+        cluster.submit(SimulatedCluster.job(1, 2).put("expectS", 300.0)); // so that workers report to the leader
+        cluster.until(() -> cluster.running().size() == 2, 40);
+        cluster.upgrade("n0", 1);
+        cluster.upgrade("n1", 1);
+        cluster.loop.run(8);
+        cluster.downgrade("n0", 35);
+        cluster.loop.run(5);
+        cluster.upgrade("n2", 10);
+        cluster.loop.run(25);
+        assertEquals("n1", cluster.leader(), "it has heard n0 with the new version");
+        assertFalse(raised(), "n0 is down");
+        cluster.loop.run(15);
+        assertFalse(raised(), "and came back old");
+        cluster.upgrade("n0", 1);
+        cluster.until(this::raised, 30);
+    }
+
     /** A member that nobody hears may be an old one. */
     @Test
     void aMemberThatIsCutOffKeepsTheLevel() {
