Chunks of finished tasks do not straddle those of the base level

Found by reading: with chunks of the smaller limit a job of more than one base chunk (16,000 tasks at 8 KB) could have a chunk whose tasks were on two pages as the level rose; written one after the other, some finished marks were on neither for a while.

--- a/src/main/java/org/spruceridge/leader/RecordPages.java
+++ b/src/main/java/org/spruceridge/leader/RecordPages.java
@@ -67,8 +67,17 @@
         return level.includes(FeatureLevel.SERVICES) ? smallChunkSize : baseChunkSize;
     }
 
+    /** Chunks do not straddle those of the base level, so that the tasks of each were on one page when the level rose. */
     Chunk chunkOf(Job job, int index) {
-        return new Chunk(job, index / chunkSize() * chunkSize());
+        int base = index / baseChunkSize * baseChunkSize;
+        return new Chunk(job, base + (index - base) / chunkSize() * chunkSize());
+    }
+
+    /** The first task after the chunk. */
+    private int endOf(Chunk chunk) {
+        int baseEnd = (chunk.first / baseChunkSize + 1) * baseChunkSize;
+        return Math.min(
+                Math.min(chunk.first + chunkSize(), baseEnd), chunk.job.spec().tasks());
     }
 
     /** The size of chunks in records of the base level. */
@@ -91,8 +100,8 @@
         old.forEach((chunk, page) -> {
             finished.remove(chunk);
             int end = Math.min(chunk.first + baseChunkSize, chunk.job.spec().tasks());
-            for (int first = chunk.first; first < end; first += chunkSize()) {
-                finished.put(chunkOf(chunk.job, first), page);
+            for (int first = chunk.first; first < end; first = endOf(new Chunk(chunk.job, first))) {
+                finished.put(new Chunk(chunk.job, first), page);
             }
         });
         finished.findOversized();
@@ -129,7 +138,7 @@
 
     /** The finished tasks of a job that is over are of no use any more. */
     void forget(Job job) {
-        for (int first = 0; first < job.spec().tasks(); first += chunkSize()) {
+        for (int first = 0; first < job.spec().tasks(); first = endOf(new Chunk(job, first))) {
             finished.remove(new Chunk(job, first));
         }
     }
@@ -155,7 +164,7 @@
                 baseChunkSize,
                 page.items().stream()
                         .map(c -> {
-                            BitSet bits = c.job.done().get(c.first, c.first + chunkSize());
+                            BitSet bits = c.job.done().get(c.first, endOf(c));
                             bits.or(ending.getOrDefault(c, new BitSet()));
                             return new FinishedRecord.Chunk(c.job.id(), c.first, bits);
                         })
@@ -165,8 +174,7 @@
     private int bytes(Collection<Chunk> chunks) {
         int sum = 5;
         for (Chunk c : chunks) {
-            int tasks = Math.min(chunkSize(), c.job.spec().tasks() - c.first);
-            sum += FinishedRecord.bytes(c.job.id(), tasks);
+            sum += FinishedRecord.bytes(c.job.id(), endOf(c) - c.first);
         }
         return sum;
     }
