Log and metrics of what a leader knew: terms, takeovers, cancellations, deletions, reports by outcome

No change in behaviour. At info one line for each event of the cluster: a term's end and its reason, each listing of a takeover with entries, bytes and time, the cancelled jobs that it read, each cancellation with bound tasks, each overdue stop, each deletion's answer. One line a report at debug. GET /metrics has reports by outcome, takeovers, the age of the view of cancellations, and the oldest unproven stop.

--- a/src/main/java/org/spruceridge/autoscaling/Autoscaler.java
+++ b/src/main/java/org/spruceridge/autoscaling/Autoscaler.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
@@ -167,10 +168,31 @@
 
     /** Deletes machines that have to be given up; the deletion proves that their tasks are gone. */
     private void deleteFailed() {
-        returns.delete(failureDetector.withOverdueStops(), "cancelled tasks that do not end");
+        List<Machine> overdue = failureDetector.withOverdueStops();
+        overdue.stream().filter(m -> !m.returning()).forEach(this::logOverdue);
+        returns.delete(overdue, "cancelled tasks that do not end");
         returns.delete(failureDetector.lost(), "lost or never up");
     }
 
+    private void logOverdue(Machine m) {
+        long now = loop.nanos();
+        m.bindings().stream()
+                .filter(b -> b.job().cancelled())
+                .min(Comparator.comparingLong(b -> b.job().cancelledAt()))
+                .ifPresent(b -> LOG.info(
+                        "stop overdue: {}, {}, cancelled {} s ago, heard of {} s ago; the machine was last heard {} s ago",
+                        b,
+                        b.phase(),
+                        Durations.secondsSince(b.job().cancelledAt(), now),
+                        Durations.secondsSince(b.job().cancellationHeardAt(), now),
+                        Durations.secondsSince(m.lastHeard(), now)));
+    }
+
+    /** How long ago the job of the oldest stop that is not proven was cancelled, in seconds; 0 if there is none. */
+    public double oldestUnprovenStopS() {
+        return failureDetector.oldestUnprovenStopS();
+    }
+
     private void rentAndReturn() {
         Plan plan = lastPlan.get();
         if (plan == null || cluster.types().isEmpty()) {
--- a/src/main/java/org/spruceridge/autoscaling/FailureDetector.java
+++ b/src/main/java/org/spruceridge/autoscaling/FailureDetector.java
@@ -81,11 +81,24 @@
                 .toList();
     }
 
+    /** How long ago the job of the oldest stop that is not proven was cancelled, in seconds; 0 if there is none. */
+    double oldestUnprovenStopS() {
+        long now = loop.nanos();
+        return cluster.machines().stream()
+                .flatMap(m -> m.bindings().stream())
+                .filter(FailureDetector::stopUnproven)
+                .mapToDouble(b -> Durations.secondsSince(b.job().cancelledAt(), now))
+                .max()
+                .orElse(0);
+    }
+
+    private static boolean stopUnproven(Binding b) {
+        return b.job().cancelled() && b.stage() != Binding.Stage.PROPOSED && !b.gone();
+    }
+
     private boolean stopOverdue(Binding b, long now) {
         Job job = b.job();
-        return job.cancelled()
-                && b.stage() != Binding.Stage.PROPOSED
-                && !b.gone()
+        return stopUnproven(b)
                 && Durations.secondsSince(job.cancelledAt(), now) > times.patienceS()
                 && Durations.secondsSince(job.cancellationHeardAt(), now) > times.proofS();
     }
--- a/src/main/java/org/spruceridge/autoscaling/MachineReturns.java
+++ b/src/main/java/org/spruceridge/autoscaling/MachineReturns.java
@@ -12,6 +12,7 @@
 import org.spruceridge.cluster.Binding;
 import org.spruceridge.cluster.Cluster;
 import org.spruceridge.cluster.Machine;
+import org.spruceridge.net.Durations;
 
 /** Gives machines back to the cloud. A deletion that was answered proves that nothing is left on them. */
 final class MachineReturns {
@@ -57,8 +58,15 @@
     private void deletePart(List<Machine> part, String why) {
         List<String> names = part.stream().map(Machine::name).toList();
         LOG.info("returning {}: {}", names, why);
+        long asked = access.loop().nanos();
         access.cloud().delete(names, access.scope().guard(ok -> {
             names.forEach(deleting::remove);
+            LOG.info(
+                    "{} machines, {} the first: the cloud {} after {} s",
+                    names.size(),
+                    names.get(0),
+                    ok ? "has deleted them" : "did not confirm the deletion",
+                    Durations.secondsSince(asked, access.loop().nanos()));
             if (ok) {
                 part.forEach(this::gone);
             } else {
--- a/src/main/java/org/spruceridge/leader/Election.java
+++ b/src/main/java/org/spruceridge/leader/Election.java
@@ -121,7 +121,7 @@
         if (leaderTerm != null) {
             LOG.warn("term {}: giving up the lead: {}", leaderTerm.term(), why);
             state.endGrant(permit);
-            lose();
+            lose("it was given up");
             restUntil = loop.nanos() + ttl; // others first
             scope.after(ttl, this::read);
         }
@@ -195,7 +195,7 @@
             if (thisIncarnation && record.get().term() == leaderTerm.term()) {
                 return;
             }
-            lose();
+            lose("the leader key names " + record.map(LeaderRecord::hostName).orElse("nobody"));
         }
         if (record.isEmpty()) {
             campaign(0);
@@ -306,7 +306,7 @@
                 return;
             }
             if (result.kind() == Result.Kind.MISSING) {
-                lose();
+                lose("its grant has ended");
                 read();
                 return;
             }
@@ -321,8 +321,12 @@
         return sentAt + (long) (ttl * (1 - Durations.DRIFT - SAFETY));
     }
 
-    private void lose() {
-        LOG.info("term {}: this node no longer leads", leaderTerm.term());
+    private void lose(String why) {
+        LOG.info(
+                "term {}: this node no longer leads after {} s: {}",
+                leaderTerm.term(),
+                Durations.secondsSince(leaderTerm.since(), loop.nanos()),
+                why);
         leaderTerm = null;
         permit = 0;
         listener.lost();
--- a/src/main/java/org/spruceridge/leader/JobWatcher.java
+++ b/src/main/java/org/spruceridge/leader/JobWatcher.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.spruceridge.cluster.Binding;
 import org.spruceridge.cluster.Cluster;
 import org.spruceridge.cluster.Job;
@@ -26,6 +28,7 @@
 
 /** Learns of accepted and cancelled jobs by watching the open entries of unfinished jobs. */
 public final class JobWatcher {
+    private static final Logger LOG = LoggerFactory.getLogger(JobWatcher.class);
     private static final long RETRY = Durations.millis(250);
 
     private final Loop loop;
@@ -34,6 +37,7 @@
     private final Cluster cluster;
     private final RecordWriter recordWriter;
     private final RateLimitedWarnings warnings;
+    private final long term;
     private final Consumer<Machine> push;
     private final Runnable changed;
     private final double watchS;
@@ -55,6 +59,7 @@
         this.cluster = context.cluster();
         this.recordWriter = recordWriter;
         this.warnings = context.warnings();
+        this.term = context.term().term();
         this.push = push;
         this.changed = changed;
         this.watchS = times.watchS();
@@ -100,28 +105,53 @@
     }
 
     /** Marks a job as cancelled by its user: what waits is withdrawn, what runs is stopped. */
-    public void cancelled(Job job) {
+    void cancelled(Job job, CancellationSource source) {
         if (!job.cancelled()) {
             job.cancel(refreshedUpTo, loop.nanos());
             recordWriter.withdraw(job);
-            job.bindings().stream().map(Binding::machine).distinct().toList().forEach(push);
+            List<Machine> machines =
+                    job.bindings().stream().map(Binding::machine).distinct().toList();
+            log(job, source, machines.size());
+            machines.forEach(push);
             changed.run();
         }
     }
 
+    private void log(Job job, CancellationSource source, int machines) {
+        if (machines > 0) {
+            LOG.info(
+                    "term {}: job {} is cancelled, by {}, since {} s at most; {} tasks on {} machines",
+                    term,
+                    job.id(),
+                    source,
+                    Durations.secondsSince(job.cancelledAt(), loop.nanos()),
+                    job.bindings().size(),
+                    machines);
+        } else {
+            LOG.debug("term {}: job {} is cancelled, by {}; no task is bound", term, job.id(), source);
+        }
+    }
+
+    /** How long ago the view of cancellations was complete, in seconds; infinite if it never was. */
+    double viewAgeS() {
+        return refreshedUpTo == Long.MIN_VALUE
+                ? Double.POSITIVE_INFINITY
+                : Durations.secondsSince(refreshedUpTo, loop.nanos());
+    }
+
     private void apply(Change change) {
         String id = change.key().substring(Keys.OPEN.length());
         if (change.dropped()) {
-            dropped(id);
+            dropped(id, CancellationSource.WATCH);
         } else {
             add(id, change.value(), change.stamp());
         }
     }
 
-    private void dropped(String id) {
+    private void dropped(String id, CancellationSource source) {
         Job job = cluster.job(id);
         if (job != null && !recordWriter.finishing(job)) {
-            cancelled(job);
+            cancelled(job, source);
         }
     }
 
@@ -152,7 +182,7 @@
             }
             List.copyOf(cluster.jobs()).stream()
                     .filter(job -> !open.contains(job.id()))
-                    .forEach(job -> dropped(job.id()));
+                    .forEach(job -> dropped(job.id(), CancellationSource.LISTING));
             refreshed(asked);
             changed.run();
             start(listing.value().revision());
--- a/src/main/java/org/spruceridge/leader/Leader.java
+++ b/src/main/java/org/spruceridge/leader/Leader.java
@@ -1,5 +1,6 @@
 package org.spruceridge.leader;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import java.util.List;
@@ -68,7 +69,7 @@
 
         @Override
         public void cancelled(Job job) {
-            watch.cancelled(job);
+            watch.cancelled(job, CancellationSource.FAILED_GUARD);
         }
 
         @Override
@@ -140,6 +141,7 @@
             @Override
             public void ready(long revision) {
                 ready = true;
+                context.metrics().takenOver(ledFor());
                 LOG.info(
                         "term {}: took over {} jobs and {} machines after {} ms",
                         term.term(),
@@ -165,7 +167,7 @@
     public void cancelled(String id) {
         Job job = cluster.job(id);
         if (ready && job != null) {
-            watch.cancelled(job);
+            watch.cancelled(job, CancellationSource.HEARTBEAT);
         }
     }
 
@@ -209,9 +211,42 @@
     public Optional<Response> report(Report report) {
         if (!ready) {
             reportHandler.acknowledge(report);
-            return Optional.of(answer(reportHandler.stopUnknownTasks(report)));
+            return answered(report, reportHandler.stopUnknownTasks(report));
+        }
+        if (reportHandler.ignores(report)) {
+            context.metrics().count(ReportOutcome.GIVEN_UP);
+            LOG.debug("term {}: {} is not answered: its lease is to run out", term.term(), report.machine());
+            return Optional.empty();
+        }
+        return answered(report, reportHandler.handle(report));
+    }
+
+    private Optional<Response> answered(Report report, List<Order> orders) {
+        long stops = orders.stream().filter(o -> o.verb() == Order.Verb.STOP).count();
+        ReportOutcome outcome = !ready
+                ? ReportOutcome.ANSWERED_IN_TAKEOVER
+                : stops > 0 ? ReportOutcome.ANSWERED_WITH_STOPS : ReportOutcome.ANSWERED;
+        context.metrics().count(outcome);
+        if (LOG.isDebugEnabled()) {
+            LOG.debug(
+                    "term {}: {} with token {} and {} tasks: {}, {} stops",
+                    term.term(),
+                    report.machine(),
+                    report.token(),
+                    report.tasks().size(),
+                    outcome,
+                    stops);
+        }
+        return Optional.of(answer(orders));
+    }
+
+    /** Adds how old the view of cancellations is, and how long ago the oldest unproven stop's job was cancelled. */
+    public void writeTo(ObjectNode out) {
+        out.put("term", term.term()).put("oldestUnprovenStopS", autoscaler.oldestUnprovenStopS());
+        double viewAgeS = watch.viewAgeS();
+        if (Double.isFinite(viewAgeS)) {
+            out.put("viewAgeS", viewAgeS);
         }
-        return reportHandler.ignores(report) ? Optional.empty() : Optional.of(answer(reportHandler.handle(report)));
     }
 
     private Response answer(List<Order> orders) {
--- a/src/main/java/org/spruceridge/leader/LeaderContext.java
+++ b/src/main/java/org/spruceridge/leader/LeaderContext.java
@@ -25,7 +25,8 @@
         LeaderTerm term,
         BooleanSupplier leads,
         RateLimitedWarnings warnings,
-        Latencies latencies) {
+        Latencies latencies,
+        LeaderMetrics metrics) {
 
     /** The context of a term that begins, with an empty cluster state. */
     public static LeaderContext begin(
@@ -35,13 +36,23 @@
             LeaderTerm term,
             BooleanSupplier leads,
             RateLimitedWarnings warnings,
-            Latencies latencies) {
+            Latencies latencies,
+            LeaderMetrics metrics) {
         return new LeaderContext(
-                loop, new CancellationScope(loop), settings, policy, new Cluster(), term, leads, warnings, latencies);
+                loop,
+                new CancellationScope(loop),
+                settings,
+                policy,
+                new Cluster(),
+                term,
+                leads,
+                warnings,
+                latencies,
+                metrics);
     }
 
     /** The same with another cluster state. */
     LeaderContext with(Cluster other) {
-        return new LeaderContext(loop, scope, settings, policy, other, term, leads, warnings, latencies);
+        return new LeaderContext(loop, scope, settings, policy, other, term, leads, warnings, latencies, metrics);
     }
 }
--- /dev/null
+++ b/src/main/java/org/spruceridge/leader/ReportOutcome.java
@@ -0,0 +1,23 @@
+package org.spruceridge.leader;
+
+/** What became of a worker's report. Only the first three renew the worker's lease. */
+public enum ReportOutcome {
+    /** Answered, with no stop among the orders. */
+    ANSWERED,
+    /** Answered with at least one stop. */
+    ANSWERED_WITH_STOPS,
+    /** Answered while the takeover was under way. */
+    ANSWERED_IN_TAKEOVER,
+    /** Sent to the node that leads. */
+    REDIRECTED,
+    /** Refused, for no leader is known. */
+    NO_LEADER,
+    /** Refused by the leader, whose view of cancellations is too old. */
+    STALE_VIEW,
+    /** Refused, for the worker has seen a newer term. */
+    NEWER_TERM,
+    /** Not answered, so that the lease of a worker that is not reached runs out. */
+    GIVEN_UP,
+    /** Not a report. */
+    UNREADABLE
+}
--- a/src/main/java/org/spruceridge/leader/Takeover.java
+++ b/src/main/java/org/spruceridge/leader/Takeover.java
@@ -10,6 +10,8 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.spruceridge.cluster.Binding;
 import org.spruceridge.cluster.Cluster;
 import org.spruceridge.cluster.Job;
@@ -34,6 +36,7 @@
  * change what they find: only users' submissions and cancellations can, and those the watch brings.
  */
 public final class Takeover {
+    private static final Logger LOG = LoggerFactory.getLogger(Takeover.class);
     private static final long RETRY = Durations.millis(200);
 
     private final Loop loop;
@@ -88,15 +91,32 @@
     }
 
     private void list(String prefix, Consumer<Listing> next) {
+        list(prefix, loop.nanos(), next);
+    }
+
+    private void list(String prefix, long since, Consumer<Listing> next) {
         state.list(prefix, Priority.RENEWAL, scope.guard(result -> {
             if (result.isOk()) {
-                next.accept(result.value());
+                Listing listing = result.value();
+                LOG.info(
+                        "term {}: takeover: {} entries under {}, {} bytes, after {} ms",
+                        term.term(),
+                        listing.entries().size(),
+                        prefix,
+                        listing.bytes(),
+                        millisSince(since));
+                next.accept(listing);
             } else {
-                scope.after(RETRY, () -> list(prefix, next));
+                warnings.warn("takeover: a listing failed and is asked for again", prefix);
+                scope.after(RETRY, () -> list(prefix, since, next));
             }
         }));
     }
 
+    private long millisSince(long moment) {
+        return (long) (Durations.secondsSince(moment, loop.nanos()) * 1000);
+    }
+
     private void addJobs(Listing open) {
         for (Entry e : open.entries()) {
             try {
@@ -147,7 +167,25 @@
                 }
             }
         }
-        fetchNext(new ArrayDeque<>(missing), next);
+        long since = loop.nanos();
+        fetchNext(new ArrayDeque<>(missing), () -> {
+            logEnded(missing.size(), since);
+            next.run();
+        });
+    }
+
+    private void logEnded(int asked, long since) {
+        long oldestMs = endedMs.values().stream()
+                .mapToLong(ms -> loop.wallMillis() - ms)
+                .max()
+                .orElse(0);
+        LOG.info(
+                "term {}: takeover: {} of {} cancelled jobs with bound tasks, the oldest cancelled {} s ago, after {} ms",
+                term.term(),
+                endedMs.size(),
+                asked,
+                oldestMs / 1000.0,
+                millisSince(since));
     }
 
     private void fetchNext(Deque<String> ids, Runnable next) {
--- a/src/main/java/org/spruceridge/leader/WarmUpLeader.java
+++ b/src/main/java/org/spruceridge/leader/WarmUpLeader.java
@@ -82,7 +82,8 @@
                 new LeaderTerm(TERM, 1, 0),
                 () -> true,
                 new RateLimitedWarnings(loop),
-                new Latencies(loop));
+                new Latencies(loop),
+                new LeaderMetrics());
         this.cluster = context.cluster();
         this.state = new StateClient(
                 loop,
--- a/src/main/java/org/spruceridge/node/Node.java
+++ b/src/main/java/org/spruceridge/node/Node.java
@@ -21,8 +21,10 @@
 import org.spruceridge.leader.Election;
 import org.spruceridge.leader.Leader;
 import org.spruceridge.leader.LeaderContext;
+import org.spruceridge.leader.LeaderMetrics;
 import org.spruceridge.leader.LeaderTerm;
 import org.spruceridge.leader.LeaderWarmUp;
+import org.spruceridge.leader.ReportOutcome;
 import org.spruceridge.net.BadMessageException;
 import org.spruceridge.net.CancellationScope;
 import org.spruceridge.net.Durations;
@@ -76,6 +78,7 @@
     private final Policy policy;
     private final RateLimitedWarnings warnings;
     private final Latencies latencies;
+    private final LeaderMetrics leaderMetrics = new LeaderMetrics();
     private final RateLimiter stateLimiter;
     private final RateLimiter cloudLimiter;
     private final StateClient state;
@@ -177,7 +180,8 @@
     public void won(LeaderTerm term) {
         warmUp.stop();
         shareLimits(true);
-        LeaderContext context = LeaderContext.begin(loop, settings, policy, term, election::leads, warnings, latencies);
+        LeaderContext context =
+                LeaderContext.begin(loop, settings, policy, term, election::leads, warnings, latencies, leaderMetrics);
         leader = new Leader(context, state, cloud, workers, level, this::everyMemberSupportsLevel, election::resign);
         catalogue.types().ifPresent(leader::types);
         leader.start();
@@ -218,20 +222,30 @@
      */
     private Response report(byte[] body) {
         lastReport = loop.nanos();
-        if (!election.leads() || leader == null || !leader.upToDate()) {
-            return leaderForWorkers()
-                    .filter(name -> !name.equals(settings.hostName()))
-                    .map(name -> elsewhere.computeIfAbsent(name, Order::elsewhere))
-                    .orElse(nobodyLeads);
+        if (!election.leads() || leader == null) {
+            return refuse(ReportOutcome.NO_LEADER);
+        }
+        if (!leader.upToDate()) {
+            return refuse(ReportOutcome.STALE_VIEW);
         }
         try {
             return report(Report.read(body));
         } catch (BadMessageException e) {
+            leaderMetrics.count(ReportOutcome.UNREADABLE);
             warnings.warn("unreadable report", e.getMessage());
             return Response.error(400, e.getMessage());
         }
     }
 
+    /** Sends a worker to the node that leads, if one is known; {@code why} is counted if not. */
+    private Response refuse(ReportOutcome why) {
+        Optional<Response> redirect = leaderForWorkers()
+                .filter(name -> !name.equals(settings.hostName()))
+                .map(name -> elsewhere.computeIfAbsent(name, Order::elsewhere));
+        leaderMetrics.count(redirect.isPresent() ? ReportOutcome.REDIRECTED : why);
+        return redirect.orElse(nobodyLeads);
+    }
+
     /** Nobody is silent while reports are let go unread here. */
     private void reportMissed() {
         lastReport = loop.nanos();
@@ -242,6 +256,7 @@
 
     private Response report(Report report) {
         if (report.token() > leader.term()) {
+            leaderMetrics.count(ReportOutcome.NEWER_TERM);
             return Response.error(503, "a newer leader was seen");
         }
         return leader.report(report).orElseGet(() -> Response.error(503, "given up"));
@@ -268,6 +283,10 @@
                 out.putObject("cluster").put("featureLevel", level.known().number());
         ObjectNode versions = cluster.putObject("versions").put(settings.hostName(), version.name());
         peers.versions().forEach((host, heard) -> versions.put(host, heard.name()));
+        leaderMetrics.writeTo(out);
+        if (leader != null) {
+            leader.writeTo(out.putObject("leader"));
+        }
         return out;
     }
 
--- a/src/main/java/org/spruceridge/state/StateClient.java
+++ b/src/main/java/org/spruceridge/state/StateClient.java
@@ -81,16 +81,11 @@
 
     /** Reads all keys under a prefix, page by page. */
     public void list(String prefix, Priority rank, Consumer<Result<Listing>> done) {
-        listPage(prefix, rank, "", new ArrayList<>(), Long.MAX_VALUE, done);
+        listPage(prefix, rank, "", new PartialListing(), done);
     }
 
     private void listPage(
-            String prefix,
-            Priority rank,
-            String from,
-            List<Entry> sofar,
-            long revision,
-            Consumer<Result<Listing>> done) {
+            String prefix, Priority rank, String from, PartialListing read, Consumer<Result<Listing>> done) {
         String target = "/store?starts=" + prefix + (from.isEmpty() ? "" : "&from=" + from) + "&limit=" + PAGE;
         send(rank, 0, HttpCall.get(target), PATIENCE, answer -> {
             if (answer.status() != 200) {
@@ -100,13 +95,14 @@
             try {
                 JsonNode body = Json.object(answer.body());
                 for (JsonNode item : Json.list(body, "entries")) {
-                    sofar.add(new Entry(Json.text(item, "k"), item.path("v"), Json.whole(item, "stamp")));
+                    read.entries.add(new Entry(Json.text(item, "k"), item.path("v"), Json.whole(item, "stamp")));
                 }
-                long first = Math.min(revision, Json.whole(body, "ring"));
-                if (body.path("truncated").asBoolean() && !sofar.isEmpty()) {
-                    listPage(prefix, rank, sofar.get(sofar.size() - 1).key(), sofar, first, done);
+                read.revision = Math.min(read.revision, Json.whole(body, "ring"));
+                read.bytes += answer.body().length;
+                if (body.path("truncated").asBoolean() && !read.entries.isEmpty()) {
+                    listPage(prefix, rank, read.lastKey(), read, done);
                 } else {
-                    done.accept(Result.ok(new Listing(ImmutableList.copyOf(sofar), first)));
+                    done.accept(Result.ok(read.complete()));
                 }
             } catch (BadMessageException e) {
                 unreadable(e);
@@ -115,6 +111,21 @@
         });
     }
 
+    /** The pages of a listing that have come so far. */
+    private static final class PartialListing {
+        private final List<Entry> entries = new ArrayList<>();
+        private long revision = Long.MAX_VALUE;
+        private long bytes;
+
+        String lastKey() {
+            return entries.get(entries.size() - 1).key();
+        }
+
+        Listing complete() {
+            return new Listing(ImmutableList.copyOf(entries), revision, bytes);
+        }
+    }
+
     /** Commits a transaction. */
     public void commit(Transaction txn, Priority rank, Consumer<TxnResult> done) {
         send(rank, txn.changeCount(), HttpCall.post("/txn", txn.body()), PATIENCE, judged(done));
--- a/src/test/java/org/spruceridge/leader/FleetSizeTest.java
+++ b/src/test/java/org/spruceridge/leader/FleetSizeTest.java
@@ -93,7 +93,8 @@
                     new LeaderTerm(number, leaderStamp, loop.nanos()),
                     () -> true,
                     new RateLimitedWarnings(loop),
-                    new Latencies(loop));
+                    new Latencies(loop),
+                    new LeaderMetrics());
             cluster = context.cluster();
             cluster.types(ImmutableMap.of(
                     "t4",
--- a/src/test/java/org/spruceridge/leader/RecordWriterTest.java
+++ b/src/test/java/org/spruceridge/leader/RecordWriterTest.java
@@ -82,7 +82,8 @@
                 new LeaderTerm(9, 1, 0),
                 () -> true,
                 warnings,
-                latencies);
+                latencies,
+                new LeaderMetrics());
         return new RecordWriter(context, state, nothing);
     }
 
--- a/src/test/java/org/spruceridge/scenario/UserScenarioTest.java
+++ b/src/test/java/org/spruceridge/scenario/UserScenarioTest.java
@@ -227,6 +227,27 @@
         assertTrue(users.path("maxMs").asDouble() >= users.path("p50Ms").asDouble());
     }
 
+    /** An operator on call sees what became of reports, how long the takeover took, and how old the leader's view is. */
+    @Test
+    void aNodeTellsWhatBecameOfReportsAndOfItsTakeover() throws Exception {
+        cluster.submit(SimulatedCluster.job(1, 1));
+        runUntilDone("j-000001");
+        String leader = cluster.leader();
+        JsonNode metrics = org.spruceridge.net.Json.object(
+                cluster.ask(leader, "GET", "/metrics", (JsonNode) null).body());
+        JsonNode outcomes = metrics.path("reportOutcomes");
+        assertTrue(outcomes.path("answered").asLong() > 0, outcomes.toString());
+        assertEquals(0, outcomes.path("staleView").asLong());
+        assertEquals(1, metrics.path("takeovers").path("count").asLong());
+        assertTrue(metrics.path("takeovers").path("lastS").asDouble() > 0);
+        assertTrue(metrics.path("leader").path("viewAgeS").asDouble() < SimulatedCluster.LEASE_S);
+        assertEquals(0, metrics.path("leader").path("oldestUnprovenStopS").asDouble());
+        JsonNode follower =
+                org.spruceridge.net.Json.object(cluster.ask(cluster.follower(), "GET", "/metrics", (JsonNode) null)
+                        .body());
+        assertTrue(follower.path("leader").isMissingNode());
+    }
+
     @Test
     void aNodeThatAloneLostTheStateServiceIsUnhealthy() {
         cluster.net.weather(
