--- a/src/main/java/org/spruceridge/leader/Leader.java
+++ b/src/main/java/org/spruceridge/leader/Leader.java
@@ -133,6 +133,11 @@
     /** Takes over from the records, and then begins to schedule. */
     public void start() {
         takeover.start(new Takeover.Listener() {
+            @Override
+            public void read(Takeover.Step step) {
+                LOG.info("term {}: takeover: {}, after {} ms", term.term(), step.what(), step.nanos() / 1_000_000);
+            }
+
             @Override
             public void jobsKnown(long asOf) {
                 watch.refreshed(asOf);
--- a/src/main/java/org/spruceridge/leader/Takeover.java
+++ b/src/main/java/org/spruceridge/leader/Takeover.java
@@ -10,8 +10,6 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Consumer;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 import org.spruceridge.cluster.Binding;
 import org.spruceridge.cluster.Cluster;
 import org.spruceridge.cluster.Job;
@@ -36,7 +34,6 @@
  * change what they find: only users' submissions and cancellations can, and those the watch brings.
  */
 public final class Takeover {
-    private static final Logger LOG = LoggerFactory.getLogger(Takeover.class);
     private static final long RETRY = Durations.millis(200);
 
     private final Loop loop;
@@ -47,9 +44,16 @@
     private final LeaderTerm term;
     private final RateLimitedWarnings warnings;
     private final Map<String, Long> endedMs = new HashMap<>();
+    private Listener listener;
+
+    /** A part of the takeover that is done: what it brought, and the nanoseconds that it took. */
+    public record Step(String what, long nanos) {}
 
     /** Hears how far the takeover has come. */
     public interface Listener {
+        /** Something was read. */
+        default void read(Step step) {}
+
         /** The open jobs are known as of this moment: a task of any other job has no business on a machine. */
         void jobsKnown(long asOf);
 
@@ -71,7 +75,8 @@
     }
 
     /** Reads everything, the open jobs first. */
-    public void start(Listener listener) {
+    public void start(Listener hears) {
+        listener = hears;
         long asked = loop.nanos();
         list(Keys.OPEN, open -> {
             addJobs(open);
@@ -98,13 +103,9 @@
         state.list(prefix, Priority.RENEWAL, scope.guard(result -> {
             if (result.isOk()) {
                 Listing listing = result.value();
-                LOG.info(
-                        "term {}: takeover: {} entries under {}, {} bytes, after {} ms",
-                        term.term(),
-                        listing.entries().size(),
-                        prefix,
-                        listing.bytes(),
-                        millisSince(since));
+                listener.read(new Step(
+                        listing.entries().size() + " entries under " + prefix + ", " + listing.bytes() + " bytes",
+                        loop.nanos() - since));
                 next.accept(listing);
             } else {
                 warnings.warn("takeover: a listing failed and is asked for again", prefix);
@@ -113,10 +114,6 @@
         }));
     }
 
-    private long millisSince(long moment) {
-        return (long) (Durations.secondsSince(moment, loop.nanos()) * 1000);
-    }
-
     private void addJobs(Listing open) {
         for (Entry e : open.entries()) {
             try {
@@ -179,13 +176,11 @@
                 .mapToLong(ms -> loop.wallMillis() - ms)
                 .max()
                 .orElse(0);
-        LOG.info(
-                "term {}: takeover: {} of {} cancelled jobs with bound tasks, the oldest cancelled {} s ago, after {} ms",
-                term.term(),
-                endedMs.size(),
-                asked,
-                oldestMs / 1000.0,
-                millisSince(since));
+        listener.read(new Step(
+                String.format(
+                        "%d of %d cancelled jobs with bound tasks, the oldest cancelled %.3f s ago",
+                        endedMs.size(), asked, oldestMs / 1000.0),
+                loop.nanos() - since));
     }
 
     private void fetchNext(Deque<String> ids, Runnable next) {
--- /dev/null
+++ b/src/test/java/org/spruceridge/scenario/CancellationAtSizeTest.java
@@ -0,0 +1,77 @@
+package org.spruceridge.scenario;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.spruceridge.sim.SimNet.Fate;
+import org.spruceridge.sim.SimulatedCluster;
+
+/**
+ * Users cancel hundreds of jobs at once while leaders change. The simulated cluster fails each scenario in which a task of
+ * a cancelled job is on a machine for longer than {@code cancel_s}.
+ */
+final class CancellationAtSizeTest {
+    private static final int JOBS = 200;
+
+    private SimulatedCluster cluster;
+
+    private static String id(int number) {
+        return String.format("j-%06d", number);
+    }
+
+    private static List<String> ids(int from, int to) {
+        return IntStream.range(from, to).mapToObj(CancellationAtSizeTest::id).toList();
+    }
+
+    /** Fills so many machines with the tasks of {@link #JOBS} jobs that run for long. */
+    private void allMachinesAreFull(int nodes, int machines) {
+        cluster = SimulatedCluster.ofSize(nodes, machines);
+        cluster.until(() -> cluster.leader() != null, 10);
+        int tasks = 2 * machines / JOBS;
+        List<ObjectNode> jobs = IntStream.range(0, JOBS)
+                .mapToObj(i -> SimulatedCluster.job(i, tasks).put("expectS", 600.0))
+                .toList();
+        cluster.users.submit(jobs, cluster.nodes(node -> true));
+        cluster.until(() -> cluster.running().size() == JOBS * tasks, 200);
+    }
+
+    /**
+     * Guards against answers that renew a lease and stop nothing: the first report of a worker to a new leader carries an
+     * older token, and where leaders change within a report period every report is the first.
+     */
+    @Test
+    void leadersThatLastForLessThanAReportPeriodStopCancelledTasks() {
+        allMachinesAreFull(5, JOBS);
+        cluster.users.cancel(ids(0, JOBS), cluster.nodes(node -> true));
+        for (double s = 0; s < SimulatedCluster.CANCEL_S + 5; s += SimulatedCluster.REPORT_S / 2) {
+            cluster.crashLeader(0.2);
+            cluster.loop.run(SimulatedCluster.REPORT_S / 2);
+        }
+        assertTrue(cluster.running().isEmpty());
+        cluster.settle(60);
+    }
+
+    /**
+     * Guards against jobs that look open while a takeover reads their records one by one: jobs are cancelled behind the
+     * back of a leader that is cut off, the state service is slow, and the next leader ends before it has read them all.
+     */
+    @Test
+    void newLeadersStopCancelledTasksWhileTheyReadTheirJobs() {
+        allMachinesAreFull(3, JOBS);
+        String first = cluster.leader();
+        cluster.cutPeers(first);
+        cluster.net.refuse(first, 60);
+        cluster.net.weather((from, to, call) -> call.target().startsWith("/store/job/") ? Fate.SLOW : Fate.DELIVERED);
+        cluster.users.cancel(ids(0, JOBS), cluster.nodes(node -> !node.equals(first)));
+        cluster.until(() -> cluster.leader() != null && !cluster.leader().equals(first), 20);
+        String second = cluster.leader();
+        cluster.loop.run(6);
+        cluster.crash(second);
+        cluster.loop.run(SimulatedCluster.CANCEL_S);
+        assertTrue(cluster.running().isEmpty());
+        cluster.settle(60);
+    }
+}
--- a/src/test/java/org/spruceridge/sim/SimState.java
+++ b/src/test/java/org/spruceridge/sim/SimState.java
@@ -74,6 +74,11 @@
         writesRefused = true;
     }
 
+    /** Answers 429 to changes beyond the rate, as the service does, where a scenario would otherwise fail. */
+    public void refuseChangesBeyondTheRate() {
+        writesRefused = true;
+    }
+
     /** Transactions that were refused because they, or a value in them, were too large. */
     public int rejected() {
         return rejected;
--- /dev/null
+++ b/src/test/java/org/spruceridge/sim/SimUsers.java
@@ -0,0 +1,96 @@
+package org.spruceridge.sim;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import java.util.function.Consumer;
+import org.spruceridge.net.Durations;
+import org.spruceridge.net.Json;
+import org.spruceridge.net.Request;
+import org.spruceridge.net.Response;
+
+/**
+ * Many users at once, written from the published protocol: each repeats its request at another node a second after anything
+ * but the answer that it needs, or after five seconds of silence.
+ */
+public final class SimUsers {
+    private static final double PATIENCE_S = 5;
+    private static final double PAUSE_S = 1;
+
+    private final SimLoop loop;
+    private final RuleChecker rules;
+    private final Consumer<Call> send;
+    private int waiting;
+
+    /** One request to one node, and who takes its answer. */
+    record Call(String node, Request request, Consumer<Response> answer) {}
+
+    SimUsers(SimLoop loop, RuleChecker rules, Consumer<Call> send) {
+        this.loop = loop;
+        this.rules = rules;
+        this.send = send;
+    }
+
+    /** Requests that have not had the answer that they need. */
+    public int waiting() {
+        return waiting;
+    }
+
+    /** Submits these jobs, spread over these nodes. */
+    public void submit(List<ObjectNode> jobs, List<String> nodes) {
+        for (int i = 0; i < jobs.size(); i++) {
+            ObjectNode job = jobs.get(i);
+            rules.submits(job);
+            Request request = new Request("POST", "/api/jobs", Json.bytes(job));
+            new User(job.path("nameId").asText(), request, nodes).ask(i);
+        }
+    }
+
+    /** Cancels these jobs, spread over these nodes. */
+    public void cancel(List<String> ids, List<String> nodes) {
+        for (int i = 0; i < ids.size(); i++) {
+            String id = ids.get(i);
+            rules.asksToCancel(id);
+            new User(id, new Request("POST", "/api/jobs/" + id + "/abort", new byte[0]), nodes).ask(i);
+        }
+    }
+
+    /** One user and the one request that it repeats. */
+    private final class User {
+        private final String job;
+        private final Request request;
+        private final List<String> nodes;
+
+        User(String job, Request request, List<String> nodes) {
+            this.job = job;
+            this.request = request;
+            this.nodes = nodes;
+            waiting++;
+        }
+
+        void ask(int turn) {
+            boolean[] over = new boolean[1];
+            loop.after(Durations.nanos(PATIENCE_S), () -> {
+                if (!over[0]) {
+                    over[0] = true;
+                    ask(turn + 1);
+                }
+            });
+            send.accept(new Call(nodes.get(turn % nodes.size()), request, response -> {
+                if (!over[0]) {
+                    over[0] = true;
+                    answered(response, turn);
+                }
+            }));
+        }
+
+        private void answered(Response response, int turn) {
+            boolean taken = response.status() == 200 || response.status() == 201;
+            rules.answered(job, response.status(), taken ? SimulatedCluster.stage(response) : "");
+            if (taken) {
+                waiting--;
+            } else {
+                loop.after(Durations.nanos(PAUSE_S), () -> ask(turn + 1));
+            }
+        }
+    }
+}
--- a/src/test/java/org/spruceridge/sim/SimWorker.java
+++ b/src/test/java/org/spruceridge/sim/SimWorker.java
@@ -32,6 +32,7 @@
     private long token;
     private long leaseFrom;
     private long lastSent = Long.MIN_VALUE / 2;
+    private long tokenReportedAt = Long.MIN_VALUE / 2;
     private boolean waiting;
     private boolean frozen;
     private final List<Runnable> held = new ArrayList<>();
@@ -181,6 +182,15 @@
         }
     }
 
+    /** A higher token is worth a report of its own once in half a lease, as the protocol has it. */
+    private void tokenChanged() {
+        long now = cluster.loop.nanos();
+        if (now - tokenReportedAt >= Durations.nanos(SimulatedCluster.LEASE_S / 2)) {
+            tokenReportedAt = now;
+            soon();
+        }
+    }
+
     private void soon() {
         long wait = lastSent + Durations.millis(500) - cluster.loop.nanos();
         process.after(Math.max(0, wait), this::send);
@@ -242,7 +252,7 @@
             }
             if (given > token) {
                 token = given;
-                soon();
+                tokenChanged();
             }
             leaseFrom = sentAt;
             for (JsonNode order : Json.list(body, "orders")) {
