A new leader's answers stop cancelled tasks from the first one on

A report with an older token, an old report and that of a machine that is gone were answered with no order at all; during a takeover only jobs outside the cluster state were stopped, and each cancelled job became part of it, looking open, when its record was read.

Now whatever is not taken into the cluster state is answered with stops for all that it lists of jobs that are not open, and a cancelled job that is read in a takeover is cancelled from that moment on.

--- a/src/main/java/org/spruceridge/leader/Leader.java
+++ b/src/main/java/org/spruceridge/leader/Leader.java
@@ -215,8 +215,7 @@
      */
     public Optional<Response> report(Report report) {
         if (!ready) {
-            reportHandler.acknowledge(report);
-            return answered(report, reportHandler.stopUnknownTasks(report));
+            return answered(report, reportHandler.handleInTakeover(report));
         }
         if (reportHandler.ignores(report)) {
             context.metrics().count(ReportOutcome.GIVEN_UP);
--- a/src/main/java/org/spruceridge/leader/ReportHandler.java
+++ b/src/main/java/org/spruceridge/leader/ReportHandler.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -53,30 +54,45 @@
     }
 
     /** Takes note that a machine reported and is handed this term's token; its tasks are not looked at. */
-    public void acknowledge(Report report) {
+    private void acknowledge(Report report) {
         Machine machine = cluster.machine(report.machine());
         if (machine != null) {
             machine.answered(loop.nanos(), report.token() == term);
         }
     }
 
-    /** Stops for all that the report lists of jobs that are not open. Only open jobs are in the cluster state yet. */
-    public List<Order> stopUnknownTasks(Report report) {
+    /**
+     * Takes a report into the cluster state, and answers it with orders. A report counts only if it is newer than all before
+     * it and carries this term's token: orders of earlier leaders can no longer reach that worker, so what the report lacks
+     * is not there.
+     */
+    public List<Order> handle(Report report) {
+        Optional<List<Order>> orders = apply(report, true);
+        acknowledge(report);
+        return orders.orElseGet(() -> stopsOfEndedJobs(report));
+    }
+
+    /** Answers a report while the takeover is under way: only jobs are known yet, and of those all that are open. */
+    public List<Order> handleInTakeover(Report report) {
+        acknowledge(report);
+        return stopsOfEndedJobs(report);
+    }
+
+    /**
+     * The answer to a report renews the worker's lease even if nothing is taken from it. So it stops all that the report
+     * lists of jobs that are not open. That needs no fresh report: a stop names an attempt, and an ended job stays ended.
+     */
+    private List<Order> stopsOfEndedJobs(Report report) {
         return report.tasks().stream()
-                .filter(t -> t.state() != Report.TaskState.EXITED
-                        && cluster.job(t.task().job()) == null)
+                .filter(t ->
+                        t.state() != Report.TaskState.EXITED && !isOpen(t.task().job()))
                 .map(t -> Order.stop(t.task(), t.attempt(), 0))
                 .toList();
     }
 
-    /**
-     * Takes a report into the cluster state. Only one that is newer than all before it and carries this term's token counts:
-     * orders of earlier leaders can no longer reach that worker, so what the report lacks is not there.
-     */
-    public List<Order> handle(Report report) {
-        List<Order> orders = apply(report, true);
-        acknowledge(report);
-        return orders;
+    private boolean isOpen(String id) {
+        Job job = cluster.job(id);
+        return job != null && !job.cancelled();
     }
 
     /**
@@ -100,15 +116,16 @@
         apply(report, false);
     }
 
-    private List<Order> apply(Report report, boolean byItself) {
+    /** The orders that follow from the report, or nothing if it is not taken into the cluster state. */
+    private Optional<List<Order>> apply(Report report, boolean byItself) {
         // A report with another token may be a copy of any age, of a machine that is gone: it tells nothing. The answer
         // brings this term's token, and the next report with it. A machine that was given back stays so.
         if (report.token() != term || cluster.isGone(report.machine())) {
-            return List.of();
+            return Optional.empty();
         }
         Machine machine = machine(report);
         if (!machine.isNews(report.session(), report.sequence())) {
-            return List.of();
+            return Optional.empty();
         }
         long now = loop.nanos();
         boolean fresh = !machine.fenced() || report.session() > machine.session();
@@ -138,7 +155,7 @@
         if (fresh) {
             available.accept(machine);
         }
-        return orders(machine, unbound, now);
+        return Optional.of(orders(machine, unbound, now));
     }
 
     private Machine machine(Report report) {
--- a/src/main/java/org/spruceridge/leader/Takeover.java
+++ b/src/main/java/org/spruceridge/leader/Takeover.java
@@ -1,12 +1,9 @@
 package org.spruceridge.leader;
 
-import com.google.common.collect.ImmutableList;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Consumer;
@@ -35,6 +32,8 @@
  */
 public final class Takeover {
     private static final long RETRY = Durations.millis(200);
+    /** Ended jobs are read so many at a time: enough for a slow state service, few enough to let renewals in. */
+    private static final int MOST_READ_AT_ONCE = 16;
 
     private final Loop loop;
     private final CancellationScope scope;
@@ -43,7 +42,7 @@
     private final RecordPages records;
     private final LeaderTerm term;
     private final RateLimitedWarnings warnings;
-    private final Map<String, Long> endedMs = new HashMap<>();
+    private final List<Job> endedJobs = new ArrayList<>();
     private Listener listener;
 
     /** A part of the takeover that is done: what it brought, and the nanoseconds that it took. */
@@ -86,9 +85,10 @@
                     finished -> list(Keys.BINDINGS, machines -> {
                         addFinished(finished);
                         List<Recorded> recorded = readMachines(machines);
-                        fetchEnded(recorded, () -> {
+                        readEnded(recorded, () -> {
                             recorded.forEach(this::addMachine);
-                            closeEnded();
+                            // Only from now on can reports prove the stops.
+                            endedJobs.forEach(job -> job.cancel(job.cancelledAt(), loop.nanos()));
                             listener.ready(open.revision());
                         });
                     }));
@@ -154,58 +154,81 @@
         return out;
     }
 
-    /** Fetches the records of jobs that have ended while tasks of theirs are still bound. */
-    private void fetchEnded(List<Recorded> recorded, Runnable next) {
-        Set<String> missing = new TreeSet<>();
+    /** Reads the records of jobs that have ended while tasks of theirs are still bound, several at a time. */
+    private void readEnded(List<Recorded> recorded, Runnable next) {
+        Set<String> ended = new TreeSet<>();
         for (Recorded r : recorded) {
             for (BindingsRecord.Bound b : r.record().bound()) {
                 if (cluster.job(b.task().job()) == null) {
-                    missing.add(b.task().job());
+                    ended.add(b.task().job());
                 }
             }
         }
         long since = loop.nanos();
-        fetchNext(new ArrayDeque<>(missing), () -> {
-            logEnded(missing.size(), since);
+        new EndedJobs(ended, () -> {
+            double oldestS = endedJobs.stream()
+                    .mapToDouble(job -> Durations.secondsSince(job.cancelledAt(), loop.nanos()))
+                    .max()
+                    .orElse(0);
+            listener.read(new Step(
+                    ended.size() + " cancelled jobs with bound tasks, the oldest cancelled " + oldestS + " s ago",
+                    loop.nanos() - since));
             next.run();
         });
     }
 
-    private void logEnded(int asked, long since) {
-        long oldestMs = endedMs.values().stream()
-                .mapToLong(ms -> loop.wallMillis() - ms)
-                .max()
-                .orElse(0);
-        listener.read(new Step(
-                String.format(
-                        "%d of %d cancelled jobs with bound tasks, the oldest cancelled %.3f s ago",
-                        endedMs.size(), asked, oldestMs / 1000.0),
-                loop.nanos() - since));
-    }
+    /** The records of ended jobs that are still to be read. */
+    private final class EndedJobs {
+        private final Deque<String> unread;
+        private final Runnable next;
+        private int beingRead;
 
-    private void fetchNext(Deque<String> ids, Runnable next) {
-        if (ids.isEmpty()) {
-            next.run();
-            return;
+        EndedJobs(Set<String> ids, Runnable next) {
+            this.unread = new ArrayDeque<>(ids);
+            this.next = next;
+            readOn();
         }
-        String id = ids.peek();
-        state.get(Keys.job(id), Priority.RENEWAL, scope.guard(result -> {
-            if (result.kind() == Result.Kind.UNAVAILABLE) {
-                scope.after(RETRY, () -> fetchNext(ids, next));
-                return;
+
+        private void readOn() {
+            while (!unread.isEmpty() && beingRead < MOST_READ_AT_ONCE) {
+                beingRead++;
+                read(unread.remove());
             }
-            ids.remove();
-            try {
+            if (beingRead == 0) {
+                next.run();
+            }
+        }
+
+        private void read(String id) {
+            state.get(Keys.job(id), Priority.RENEWAL, scope.guard(result -> {
+                if (result.kind() == Result.Kind.UNAVAILABLE) {
+                    scope.after(RETRY, () -> read(id));
+                    return;
+                }
                 if (result.isOk()) {
-                    JobRecord record = JobRecord.read(result.value().value());
-                    cluster.add(new Job(record.spec(), result.value().stamp(), record.submittedMs()));
-                    endedMs.put(id, record.endedMs());
+                    addEnded(id, result.value());
                 }
-            } catch (BadMessageException bad) {
-                warnings.warn("unreadable job record", id + ": " + bad.getMessage());
-            }
-            fetchNext(ids, next);
-        }));
+                beingRead--;
+                readOn();
+            }));
+        }
+    }
+
+    /**
+     * A job whose open entry is gone while tasks are bound was cancelled. It is so from the moment at which it is known
+     * here, for workers are answered by then. What is left of its time is not begun anew with each leader.
+     */
+    private void addEnded(String id, Entry entry) {
+        try {
+            JobRecord record = JobRecord.read(entry.value());
+            long agoMs = Math.max(0, loop.wallMillis() - record.endedMs());
+            Job job = new Job(record.spec(), entry.stamp(), record.submittedMs());
+            job.cancel(loop.nanos() - Durations.millis(agoMs), loop.nanos());
+            endedJobs.add(job);
+            cluster.add(job);
+        } catch (BadMessageException bad) {
+            warnings.warn("unreadable job record", id + ": " + bad.getMessage());
+        }
     }
 
     private void addMachine(Recorded r) {
@@ -228,15 +251,4 @@
                     new Binding(job, b.task().index(), b.attempt(), machine, Binding.Stage.COMMITTED, loop.nanos()));
         }
     }
-
-    private void closeEnded() {
-        for (Job job : ImmutableList.copyOf(cluster.jobs())) {
-            if (endedMs.containsKey(job.id())) {
-                // A job whose open entry is gone while tasks are bound was cancelled. What is left of its time is not
-                // begun anew with each leader.
-                long agoMs = Math.max(0, loop.wallMillis() - endedMs.get(job.id()));
-                job.cancel(loop.nanos() - Durations.millis(agoMs), loop.nanos());
-            }
-        }
-    }
 }
--- /dev/null
+++ b/src/test/java/org/spruceridge/scenario/TakeoverScenarioTest.java
@@ -0,0 +1,43 @@
+package org.spruceridge.scenario;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.spruceridge.net.HttpCall;
+import org.spruceridge.sim.SimNet.Fate;
+import org.spruceridge.sim.SimulatedCluster;
+
+/** Takeovers that take long: workers are answered meanwhile. */
+final class TakeoverScenarioTest {
+    private final SimulatedCluster cluster = new SimulatedCluster(3);
+
+    /**
+     * Guards against leases that are taken for over while they run: a new leader answers workers before it has read which
+     * machines there are, reads that only after more than a lease, and by then the machines cannot be reached.
+     */
+    @Test
+    void leasesThatWereRenewedDuringTheTakeoverAreWaitedFor() {
+        cluster.until(() -> cluster.leader() != null, 10);
+        cluster.submit(SimulatedCluster.job(1, 2).put("expectS", 90.0));
+        cluster.until(() -> cluster.running().size() == 2, 40);
+        Set<String> cutOff = Set.copyOf(cluster.running().values());
+        cluster.submit(SimulatedCluster.job(2, 2).put("expectS", 10.0));
+        cluster.until(() -> cluster.running().size() == 4, 40);
+        cluster.net.weather((from, to, call) -> machinesAreListed(call) ? Fate.LOST : Fate.DELIVERED);
+        cluster.crashLeader(1);
+        cluster.until(() -> cluster.leader() != null, 10);
+        cluster.loop.run(SimulatedCluster.LEASE_S - 2);
+        assertTrue(cluster.completed().contains("j-000002/0"), "there is room on a machine that can be reached");
+        cluster.net.weather(
+                (from, to, call) -> cutOff.contains(from) || machinesAreListed(call) ? Fate.LOST : Fate.DELIVERED);
+        cluster.loop.run(4);
+        cluster.net.weather((from, to, call) -> cutOff.contains(from) ? Fate.LOST : Fate.DELIVERED);
+        cluster.loop.run(2 * SimulatedCluster.LEASE_S);
+        cluster.settle(200);
+    }
+
+    private static boolean machinesAreListed(HttpCall call) {
+        return call.target().startsWith("/store?starts=bound/");
+    }
+}
