Leases that a new leader renews during its takeover are waited for

Once it had read the bindings, each machine's lease counted from the election. After a takeover of more than a lease all of them were taken for over though they had been renewed in it, for as long as the view of cancellations allows; their tasks were bound elsewhere and ran twice.

--- a/src/main/java/org/spruceridge/cluster/Machine.java
+++ b/src/main/java/org/spruceridge/cluster/Machine.java
@@ -253,6 +253,11 @@
         tokenSentAt = known ? NEVER : Math.min(tokenSentAt, now);
     }
 
+    /** A report of it was answered at this moment, before the takeover made it known here. */
+    public void answeredInTakeover(long at) {
+        lastAnswered = Math.max(lastAnswered, at);
+    }
+
     /** When it was first handed this term's token that it has not shown since; {@link #NEVER} if it has. */
     public long tokenSentAt() {
         return tokenSentAt;
--- a/src/main/java/org/spruceridge/leader/Leader.java
+++ b/src/main/java/org/spruceridge/leader/Leader.java
@@ -146,6 +146,7 @@
             @Override
             public void ready(long revision) {
                 ready = true;
+                reportHandler.takeoverCompleted();
                 context.metrics().takenOver(ledFor());
                 LOG.info(
                         "term {}: took over {} jobs and {} machines after {} ms",
--- a/src/main/java/org/spruceridge/leader/ReportHandler.java
+++ b/src/main/java/org/spruceridge/leader/ReportHandler.java
@@ -41,6 +41,8 @@
     private final Settings settings;
     private final RateLimitedWarnings warnings;
     private final Consumer<Machine> available;
+    /** When machines were last answered that are not in the cluster state yet. */
+    private final Map<String, Long> answeredInTakeover = new HashMap<>();
 
     /** {@code available} is told of machines that have room anew: that begin to report, or that a task has left. */
     public ReportHandler(LeaderContext context, RecordWriter recordWriter, Consumer<Machine> available) {
@@ -74,10 +76,21 @@
 
     /** Answers a report while the takeover is under way: only jobs are known yet, and of those all that are open. */
     public List<Order> handleInTakeover(Report report) {
-        acknowledge(report);
+        answeredInTakeover.put(report.machine(), loop.nanos());
         return stopsOfEndedJobs(report);
     }
 
+    /** The machines of the records are known from now on: of some the lease was renewed meanwhile. */
+    public void takeoverCompleted() {
+        answeredInTakeover.forEach((name, at) -> {
+            Machine machine = cluster.machine(name);
+            if (machine != null) {
+                machine.answeredInTakeover(at);
+            }
+        });
+        answeredInTakeover.clear();
+    }
+
     /**
      * The answer to a report renews the worker's lease even if nothing is taken from it. So it stops all that the report
      * lists of jobs that are not open. That needs no fresh report: a stop names an attempt, and an ended job stays ended.
