--- a/src/test/java/org/spruceridge/scenario/MachineScenarioTest.java
+++ b/src/test/java/org/spruceridge/scenario/MachineScenarioTest.java
@@ -279,4 +279,19 @@
         assertEquals("done", cluster.poll("j-000001"));
         assertEquals("done", cluster.poll("j-000002"));
     }
+
+    /** Guards against a task that is never placed again, for one that no record knew was stopped and never let go. */
+    @Test
+    void aTaskThatNoRecordKnowsIsStoppedAndRunsWhereItIsBound() {
+        cluster.cloud.capacity(1);
+        cluster.until(() -> cluster.leader() != null, 10);
+        cluster.submit(SimulatedCluster.job(1, 2).put("expectS", 30.0));
+        cluster.until(() -> cluster.running().size() == 2, 40);
+        cluster.submit(SimulatedCluster.job(2, 1));
+        cluster.loop.run(2);
+        cluster.cloud.workers().get(0).startUnasked("j-000002/0", 7);
+        cluster.loop.run(5);
+        assertEquals(2, cluster.running().size(), "stopped");
+        cluster.settle(120);
+    }
 }
--- a/src/test/java/org/spruceridge/sim/SimWorker.java
+++ b/src/test/java/org/spruceridge/sim/SimWorker.java
@@ -116,6 +116,11 @@
         leaseFrom = cluster.loop.nanos();
     }
 
+    /** Lets a task run here that no leader has bound to this machine. */
+    public void startUnasked(String part, long attempt) {
+        start(new Task(part, attempt), part + "#" + attempt);
+    }
+
     /** Replicas of services on the machine come to their end by themselves. */
     public void endReplicas(String cause) {
         for (Task task : List.copyOf(tasks.values())) {
