A task that no record knew is let go once it has ended

As its release had to wait for no record, it was refused as already under way. Now it is let go like one that a report lacks; the worker is told to forget it with the next answer.

--- a/src/main/java/org/spruceridge/leader/ReportHandler.java
+++ b/src/main/java/org/spruceridge/leader/ReportHandler.java
@@ -186,8 +186,7 @@
         if (seen == null) {
             b.phase(Binding.Phase.ABSENT, now);
             if (b.stage() == Binding.Stage.ORPHANED) {
-                cluster.unbind(b, now);
-                cluster.removeIfOver(b.job(), b.job().cancelled());
+                letGo(b, now);
             } else if (b.stage() == Binding.Stage.COMMITTED && mustNotStart(b) && !startMayCome(b)) {
                 recordWriter.release(b, false);
             }
@@ -238,13 +237,21 @@
             }
             default -> {}
         }
-        if (b.stage() == Binding.Stage.ORPHANED) {
-            b.stage(Binding.Stage.RELEASING);
+        boolean completed = cause == Cause.DONE && !job.spec().isService();
+        if (b.stage() == Binding.Stage.ORPHANED && !completed) {
+            letGo(b, now);
+        } else {
+            recordWriter.release(b, completed);
         }
-        recordWriter.release(b, cause == Cause.DONE);
         available.accept(machine);
     }
 
+    /** An orphan is gone: no record of it has to be released. */
+    private void letGo(Binding orphan, long now) {
+        cluster.unbind(orphan, now);
+        cluster.removeIfOver(orphan.job(), orphan.job().cancelled());
+    }
+
     /** Errors of several jobs on one machine speak against the machine, those of one job everywhere against the job. */
     private void failed(Job job, Machine machine, long now) {
         job.faultyOn().add(machine.name());
