--- a/src/test/java/org/spruceridge/scenario/CancellationAtSizeTest.java
+++ b/src/test/java/org/spruceridge/scenario/CancellationAtSizeTest.java
@@ -3,11 +3,20 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.spruceridge.config.Address;
+import org.spruceridge.net.BadMessageException;
+import org.spruceridge.net.Json;
 import org.spruceridge.sim.SimNet.Fate;
+import org.spruceridge.sim.SimWorker;
 import org.spruceridge.sim.SimulatedCluster;
 
 /**
@@ -19,6 +28,7 @@
     private static final double RUN_S = 200;
     private static final int CANCELLED_AT_ONCE = 60;
     private static final int FEW = 8;
+    private static final int MOST = 160;
 
     private SimulatedCluster cluster;
 
@@ -42,6 +52,18 @@
         cluster.until(() -> cluster.running().size() == JOBS * tasks, 200);
     }
 
+    /** Cuts the leader off from the state service and from the other nodes, and names it. */
+    private String cutOffLeader() {
+        String leader = cluster.leader();
+        cutOff(leader);
+        return leader;
+    }
+
+    private void cutOff(String node) {
+        cluster.cutPeers(node);
+        cluster.net.refuse(node, 2 * SimulatedCluster.CANCEL_S);
+    }
+
     /**
      * Guards against answers that renew a lease and stop nothing: the first report of a worker to a new leader carries an
      * older token, and where leaders change within a report period every report is the first. A few jobs are cancelled only,
@@ -66,9 +88,7 @@
     @Test
     void newLeadersStopCancelledTasksWhileTheyReadTheirJobs() {
         allMachinesAreFull(3, JOBS);
-        String first = cluster.leader();
-        cluster.cutPeers(first);
-        cluster.net.refuse(first, 60);
+        String first = cutOffLeader();
         cluster.net.weather((from, to, call) -> call.target().startsWith("/store/job/") ? Fate.SLOW : Fate.DELIVERED);
         cluster.users.cancel(ids(0, JOBS), cluster.nodes(node -> !node.equals(first)));
         cluster.until(() -> cluster.leader() != null && !cluster.leader().equals(first), 20);
@@ -77,6 +97,9 @@
         cluster.crash(second);
         cluster.loop.run(SimulatedCluster.CANCEL_S);
         assertTrue(cluster.running().isEmpty());
+        double takeoverS =
+                metrics(cluster.leader()).path("takeovers").path("lastS").asDouble();
+        assertTrue(takeoverS < SimulatedCluster.LEASE_S / 2, "takeover: " + takeoverS + " s");
         cluster.settle(120);
     }
 
@@ -87,9 +110,7 @@
     @Test
     void aNewLeaderStopsCancelledTasksWhileItWaitsForOneRecord() {
         allMachinesAreFull(3, JOBS);
-        String first = cluster.leader();
-        cluster.cutPeers(first);
-        cluster.net.refuse(first, 60);
+        String first = cutOffLeader();
         cluster.users.cancel(ids(0, CANCELLED_AT_ONCE), cluster.nodes(node -> !node.equals(first)));
         cluster.until(() -> cluster.users.waiting() == 0, 6);
         assertEquals(first, cluster.leader(), "its grant still runs");
@@ -98,4 +119,69 @@
         cluster.loop.run(SimulatedCluster.CANCEL_S);
         cluster.settle(600);
     }
+
+    /**
+     * All at once at full size: a slow state service, the cloud out, machines that hang, that hear nothing, that reach
+     * nobody, or that are cut off with one of the nodes, and three leaders that end one after the other.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {1640, 4000})
+    void mostJobsAreCancelledWhileEverythingIsOutOfOrder(int machines) {
+        allMachinesAreFull(5, machines);
+        String first = cutOffLeader();
+        List<SimWorker> workers = cluster.cloud.workers();
+        workers.stream().filter(w -> everyTenth(w, 0)).forEach(w -> w.frozen(true));
+        Set<String> deaf = names(workers, 1);
+        Set<Address> deafAt = deaf.stream().map(SimWorker::address).collect(Collectors.toSet());
+        Set<String> mute = names(workers, 2);
+        Set<String> cutOff = names(workers, 3);
+        String cutNode = cluster.follower();
+        cutOff(cutNode);
+        cluster.net.weather((from, to, call) -> {
+            boolean toCutNode = to.equals(SimulatedCluster.address(cutNode));
+            if (to.equals(SimulatedCluster.CLOUD)
+                    || mute.contains(from)
+                    || cutOff.contains(from) && !toCutNode
+                    || call.target().equals("/do") && deafAt.contains(to)) {
+                return Fate.LOST;
+            }
+            if (deaf.contains(from)) {
+                return Fate.ANSWER_LOST;
+            }
+            return to.equals(SimulatedCluster.STATE) ? Fate.SLOW : Fate.DELIVERED;
+        });
+        List<String> serving = cluster.nodes(node -> !node.equals(first) && !node.equals(cutNode));
+        cluster.users.cancel(ids(0, MOST), serving);
+        for (int i = 0; i < 3; i++) {
+            cluster.until(() -> cluster.leader() != null && !cluster.leader().equals(first), SimulatedCluster.LEASE_S);
+            cluster.loop.run(SimulatedCluster.REPORT_S);
+            cluster.crash(cluster.leader());
+            cluster.loop.run(1);
+            serving.forEach(cluster::bootIfDead);
+        }
+        cluster.loop.run(SimulatedCluster.CANCEL_S);
+        assertEquals(0, cluster.users.waiting(), "cancellations that were not confirmed");
+        Set<String> cancelled = Set.copyOf(ids(0, MOST));
+        assertTrue(cluster.running().keySet().stream().noneMatch(part -> cancelled.contains(part.split("/")[0])));
+    }
+
+    private JsonNode metrics(String node) {
+        try {
+            return Json.object(
+                    cluster.ask(node, "GET", "/metrics", (JsonNode) null).body());
+        } catch (BadMessageException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    private static boolean everyTenth(SimWorker worker, int remainder) {
+        return Integer.parseInt(worker.name().substring(2)) % 10 == remainder;
+    }
+
+    private static Set<String> names(List<SimWorker> workers, int remainder) {
+        return workers.stream()
+                .filter(w -> everyTenth(w, remainder))
+                .map(SimWorker::name)
+                .collect(Collectors.toSet());
+    }
 }
--- a/src/test/java/org/spruceridge/sim/RuleChecker.java
+++ b/src/test/java/org/spruceridge/sim/RuleChecker.java
@@ -1,6 +1,8 @@
 package org.spruceridge.sim;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.HashMultiset;
+import com.google.common.collect.Multiset;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -8,7 +10,6 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.LongSupplier;
-import java.util.function.Predicate;
 import org.spruceridge.net.Durations;
 
 /**
@@ -29,6 +30,10 @@
     private final Map<String, String> ends = new HashMap<>();
     private final Map<String, Place> places = new TreeMap<>();
     private final Set<String> completed = new HashSet<>();
+    /** How many tasks of each job are on machines, and in each zone as "job zone". */
+    private final Multiset<String> there = HashMultiset.create();
+
+    private final Multiset<String> completedOf = HashMultiset.create();
 
     /** A job may wait so long beside room that fits it, once troubles are over. */
     private static final double WAIT_S = 90;
@@ -52,7 +57,7 @@
     }
 
     private static String jobOf(String part) {
-        return part.split("/")[0];
+        return part.substring(0, part.indexOf('/'));
     }
 
     void submits(ObjectNode job) {
@@ -117,10 +122,10 @@
             broken("wrong_place", part + " in " + zone);
         }
         places.put(part, new Place(machine, zone));
+        there.add(id);
+        there.add(inZone(id, zone));
         long ofJob = tasksThere(id);
-        long here = places.entrySet().stream()
-                .filter(e -> jobOf(e.getKey()).equals(id) && e.getValue().zone.equals(zone))
-                .count();
+        long here = there.count(inZone(id, zone));
         if (job.path("samePlace").asBoolean() && here < ofJob) {
             broken("wrong_place", part + " in " + zone + ", the others elsewhere");
         }
@@ -128,7 +133,7 @@
         if (job.path("scatter").asBoolean() && here > (parts + 1) / 2) {
             broken("wrong_place", part + " in " + zone + " with too many");
         }
-        double cpus = cpusThere(p -> true);
+        double cpus = cpusThere();
         if (cpus > teamCpus) {
             broken("quota", cpus + " CPUs");
         }
@@ -138,11 +143,19 @@
         Place place = places.get(part);
         if (place != null && place.machine.equals(machine)) {
             places.remove(part);
+            there.remove(jobOf(part));
+            there.remove(inZone(jobOf(part), place.zone));
         }
     }
 
+    private static String inZone(String job, String zone) {
+        return job + " " + zone;
+    }
+
     void completes(String part) {
-        completed.add(part);
+        if (completed.add(part)) {
+            completedOf.add(jobOf(part));
+        }
     }
 
     /** To be called again and again: cancelled tasks must be gone in time, whether anybody can reach them or not. */
@@ -191,12 +204,15 @@
 
     /** True if the team's limit leaves room for one more task of the job. */
     boolean limitAllows(String id) {
-        return cpusThere(part -> true) + submitted.get(id).path("cpus").asDouble() <= teamCpus;
+        return cpusThere() + submitted.get(id).path("cpus").asDouble() <= teamCpus;
     }
 
     /** The CPUs that tasks take on a machine. */
     double cpusOn(String machine) {
-        return cpusThere(part -> places.get(part).machine.equals(machine));
+        return places.entrySet().stream()
+                .filter(e -> e.getValue().machine.equals(machine))
+                .mapToDouble(e -> submitted.get(jobOf(e.getKey())).path("cpus").asDouble())
+                .sum();
     }
 
     /** To be told again and again, once troubles are over, of each job that waits: is there room that fits it? */
@@ -211,15 +227,17 @@
         }
     }
 
-    private double cpusThere(Predicate<String> which) {
-        return places.keySet().stream()
-                .filter(which)
-                .mapToDouble(p -> submitted.get(jobOf(p)).path("cpus").asDouble())
+    /** The CPUs that all tasks on machines take. */
+    private double cpusThere() {
+        return there.entrySet().stream()
+                .filter(e -> submitted.containsKey(e.getElement()))
+                .mapToDouble(e -> e.getCount()
+                        * submitted.get(e.getElement()).path("cpus").asDouble())
                 .sum();
     }
 
     private long tasksThere(String id) {
-        return places.keySet().stream().filter(p -> jobOf(p).equals(id)).count();
+        return there.count(id);
     }
 
     boolean allOver() {
@@ -227,7 +245,7 @@
     }
 
     private long tasksCompleted(String id) {
-        return completed.stream().filter(p -> jobOf(p).equals(id)).count();
+        return completedOf.count(id);
     }
 
     Set<String> accepted() {
--- a/src/test/java/org/spruceridge/sim/RuleCheckerTest.java
+++ b/src/test/java/org/spruceridge/sim/RuleCheckerTest.java
@@ -169,4 +169,18 @@
         rules.completes(TASK);
         breaks("left running", rules::over);
     }
+
+    /** Neither a leader's bindings nor a worker's word count: a task that hangs, or that nobody bound, is on its machine. */
+    @Test
+    void oneCancelledTaskAmongThoseOfFourThousandMachines() {
+        for (int i = 0; i < 4000; i++) {
+            accepted(SimulatedCluster.job(i, 1).put("cpus", 0.001));
+            rules.starts(String.format("j-%06d/0", i), "m" + i, "z1", true);
+        }
+        cancelled("j-003999");
+        nowS = 30;
+        rules.watch();
+        nowS = 30.1;
+        breaks("ran_cancelled", rules::watch);
+    }
 }
--- a/src/test/java/org/spruceridge/sim/SimWorker.java
+++ b/src/test/java/org/spruceridge/sim/SimWorker.java
@@ -69,7 +69,7 @@
         this.spot = spot;
         this.nodes = cluster.nodeNames();
         this.leaseFrom = cluster.loop.nanos();
-        cluster.net.serve(address(), this::direct);
+        cluster.net.serve(address(name), this::direct);
         report();
         checkLease();
     }
@@ -138,7 +138,8 @@
                 .toList();
     }
 
-    private Address address() {
+    /** Where the worker with this name takes direct commands. */
+    public static Address address(String name) {
         return new Address("10.1.0." + name, 9000);
     }
 
@@ -165,7 +166,7 @@
 
     void kill() {
         process.kill();
-        cluster.net.remove(address());
+        cluster.net.remove(address(name));
         tasks.values().forEach(t -> cluster.ended(t.part, name));
         tasks.clear();
     }
@@ -220,7 +221,7 @@
     private ObjectNode body() {
         ObjectNode out = Json.object()
                 .put("host", name)
-                .put("endpoint", address().toString())
+                .put("endpoint", address(name).toString())
                 .put("build", "t8")
                 .put("grove", zone)
                 .put("windfall", spot)
--- a/src/test/java/org/spruceridge/sim/SimulatedCluster.java
+++ b/src/test/java/org/spruceridge/sim/SimulatedCluster.java
@@ -41,8 +41,8 @@
     static final double STATE_WRITE_RPS = 100;
     static final double CLOUD_RPS = 10;
 
-    static final Address STATE = new Address("10.2.0.1", 1);
-    static final Address CLOUD = new Address("10.2.0.2", 1);
+    public static final Address STATE = new Address("10.2.0.1", 1);
+    public static final Address CLOUD = new Address("10.2.0.2", 1);
 
     public final SimLoop loop = new SimLoop();
     public final SimNet net = new SimNet(loop);
@@ -275,7 +275,8 @@
         }
     }
 
-    private void bootIfDead(String name) {
+    /** Starts a node again unless it runs. */
+    public void bootIfDead(String name) {
         if (nodes.get(name).process.dead()) {
             boot(name);
         }
