--- a/src/test/java/org/spruceridge/scenario/CancellationAtSizeTest.java
+++ b/src/test/java/org/spruceridge/scenario/CancellationAtSizeTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
 import java.util.Set;
@@ -13,8 +12,6 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.spruceridge.config.Address;
-import org.spruceridge.net.BadMessageException;
-import org.spruceridge.net.Json;
 import org.spruceridge.sim.SimNet.Fate;
 import org.spruceridge.sim.SimWorker;
 import org.spruceridge.sim.SimulatedCluster;
@@ -97,8 +94,10 @@
         cluster.crash(second);
         cluster.loop.run(SimulatedCluster.CANCEL_S);
         assertTrue(cluster.running().isEmpty());
-        double takeoverS =
-                metrics(cluster.leader()).path("takeovers").path("lastS").asDouble();
+        double takeoverS = cluster.metrics(cluster.leader())
+                .path("takeovers")
+                .path("lastS")
+                .asDouble();
         assertTrue(takeoverS < SimulatedCluster.LEASE_S / 2, "takeover: " + takeoverS + " s");
         cluster.settle(120);
     }
@@ -165,15 +164,6 @@
         assertTrue(cluster.running().keySet().stream().noneMatch(part -> cancelled.contains(part.split("/")[0])));
     }
 
-    private JsonNode metrics(String node) {
-        try {
-            return Json.object(
-                    cluster.ask(node, "GET", "/metrics", (JsonNode) null).body());
-        } catch (BadMessageException e) {
-            throw new AssertionError(e);
-        }
-    }
-
     private static boolean everyTenth(SimWorker worker, int remainder) {
         return Integer.parseInt(worker.name().substring(2)) % 10 == remainder;
     }
--- a/src/test/java/org/spruceridge/scenario/UserScenarioTest.java
+++ b/src/test/java/org/spruceridge/scenario/UserScenarioTest.java
@@ -218,23 +218,20 @@
     }
 
     @Test
-    void aNodeTellsHowLongThingsTake() throws Exception {
+    void aNodeTellsHowLongThingsTake() {
         cluster.submit(SimulatedCluster.job(1, 1));
         runUntilDone("j-000001");
-        Response r = cluster.ask("n0", "GET", "/metrics", (JsonNode) null);
-        JsonNode users = org.spruceridge.net.Json.object(r.body()).path("users");
+        JsonNode users = cluster.metrics("n0").path("users");
         assertTrue(users.path("count").asLong() > 0);
         assertTrue(users.path("maxMs").asDouble() >= users.path("p50Ms").asDouble());
     }
 
     /** An operator on call sees what became of reports, how long the takeover took, and how old the leader's view is. */
     @Test
-    void aNodeTellsWhatBecameOfReportsAndOfItsTakeover() throws Exception {
+    void aNodeTellsWhatBecameOfReportsAndOfItsTakeover() {
         cluster.submit(SimulatedCluster.job(1, 1));
         runUntilDone("j-000001");
-        String leader = cluster.leader();
-        JsonNode metrics = org.spruceridge.net.Json.object(
-                cluster.ask(leader, "GET", "/metrics", (JsonNode) null).body());
+        JsonNode metrics = cluster.metrics(cluster.leader());
         JsonNode outcomes = metrics.path("reportOutcomes");
         assertTrue(outcomes.path("answered").asLong() > 0, outcomes.toString());
         assertEquals(0, outcomes.path("staleView").asLong());
@@ -242,10 +239,7 @@
         assertTrue(metrics.path("takeovers").path("lastS").asDouble() > 0);
         assertTrue(metrics.path("leader").path("viewAgeS").asDouble() < SimulatedCluster.LEASE_S);
         assertEquals(0, metrics.path("leader").path("oldestUnprovenStopS").asDouble());
-        JsonNode follower =
-                org.spruceridge.net.Json.object(cluster.ask(cluster.follower(), "GET", "/metrics", (JsonNode) null)
-                        .body());
-        assertTrue(follower.path("leader").isMissingNode());
+        assertTrue(cluster.metrics(cluster.follower()).path("leader").isMissingNode());
     }
 
     @Test
--- a/src/test/java/org/spruceridge/sim/SimulatedCluster.java
+++ b/src/test/java/org/spruceridge/sim/SimulatedCluster.java
@@ -58,9 +58,7 @@
     private int lives;
 
     private final Set<String> onProduction = new HashSet<>();
-    private final boolean limitsWillFall;
-    private final double teamCpus;
-    private final int sockets;
+    private final NodeSettings settings;
 
     private record Running(SimNode node, SimLoop.Process process, Link link) {}
 
@@ -101,10 +99,8 @@
     }
 
     private SimulatedCluster(int nodeCount, Limits limits, Size size, boolean production) {
-        this.limitsWillFall = limits.willFall;
-        this.teamCpus = size.teamCpus;
-        this.sockets = size.sockets;
-        this.rules = new RuleChecker(loop::nanos, teamCpus, CANCEL_S);
+        this.settings = new NodeSettings(names, size.teamCpus, size.sockets, limits.willFall);
+        this.rules = new RuleChecker(loop::nanos, size.teamCpus, CANCEL_S);
         this.users = new SimUsers(loop, rules, this::send);
         this.state = new SimState(loop, limits.txnOps, limits.pageSize);
         this.cloud = new SimCloud(this);
@@ -139,7 +135,7 @@
         SimLoop.Process process = new SimLoop.Process(loop);
         Link link = new Link(name);
         SimNode.Parts parts = new SimNode.Parts(
-                process, net.client(name, process), link, new SplittableRandom(++lives), settings(name));
+                process, net.client(name, process), link, new SplittableRandom(++lives), settings.of(name));
         SimNode node = onProduction.contains(name) ? ProductionVersion.node(parts) : SimNode.current(parts);
         nodes.put(name, new Running(node, process, link));
         net.serve(
@@ -256,6 +252,11 @@
                 .toList();
     }
 
+    /** What a node tells operators. */
+    public JsonNode metrics(String node) {
+        return json(ask(node, "GET", "/metrics", (JsonNode) null));
+    }
+
     /** Lets time pass until something holds. */
     public void until(BooleanSupplier condition, double seconds) {
         for (int i = 0; i < seconds * 20 && !condition.getAsBoolean(); i++) {
@@ -343,8 +344,12 @@
     }
 
     public static String stage(Response r) {
+        return json(r).path("stage").asText();
+    }
+
+    private static JsonNode json(Response r) {
         try {
-            return Json.object(r.body()).path("stage").asText();
+            return Json.object(r.body());
         } catch (BadMessageException e) {
             throw new AssertionError(e);
         }
@@ -463,42 +468,6 @@
         rules.completes(part);
     }
 
-    private ObjectNode settings(String name) {
-        ObjectNode root = Json.object()
-                .put("host_name", name)
-                .put("domain", "z1")
-                .put("serve_on", address(name).toString())
-                .put("peer_listen", "10.0.1.1:1");
-        var members = root.putArray("members");
-        for (String other : names) {
-            if (!other.equals(name)) {
-                members.addObject().put("host_name", other).put("domain", "z1").put("peer_addr", "10.0.1.1:1");
-            }
-        }
-        root.putObject("endpoints").put("state", STATE.toString()).put("cloud", CLOUD.toString());
-        ObjectNode facts = root.putObject("facts");
-        facts.putArray("zones").add("z1").add("z2");
-        facts.putArray("teams").addObject().put("name", "red").put("cpus", 8).put("cpus_max", teamCpus);
-        facts.putObject("workers")
-                .put("report_s", REPORT_S)
-                .put("lease_s", LEASE_S)
-                .put("cancel_s", CANCEL_S);
-        ObjectNode limits = facts.putObject("state")
-                .put("rps", STATE_RPS)
-                .put("write_rps", STATE_WRITE_RPS)
-                .put("value_kb", VALUE_KB)
-                .put("txn_ops", 12);
-        if (limitsWillFall) {
-            limits.putObject("next")
-                    .put("write_rps", NEXT_WRITE_RPS)
-                    .put("value_kb", NEXT_VALUE_KB)
-                    .put("txn_ops", NEXT_TXN_OPS);
-        }
-        facts.putObject("cloud").put("rps", CLOUD_RPS).put("list_lag_s", 2);
-        facts.putObject("resources").put("core_share", 1).put("mem_mb", 200).put("max_sockets", sockets);
-        return root;
-    }
-
     private final class Link implements PeerTransport {
         private final String from;
         private Consumer<byte[]> taker = frame -> {};
