--- a/src/test/java/org/spruceridge/peer/HeartbeatTest.java
+++ b/src/test/java/org/spruceridge/peer/HeartbeatTest.java
@@ -3,23 +3,14 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
-import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableMap;
 import java.util.Arrays;
 import org.junit.jupiter.api.Test;
 import org.spruceridge.net.BadMessageException;
-import org.spruceridge.peer.Heartbeat.Progress;
+import org.spruceridge.sim.Fixtures;
 
 /** What goes between nodes comes out as it went in, and nothing else is taken for it. */
 final class HeartbeatTest {
-    private final Heartbeat heartbeat = new Heartbeat(
-            "n0",
-            true,
-            false,
-            7,
-            ImmutableMap.of("j-000001", new Progress(3, 4)),
-            ImmutableList.of("j-000002"),
-            new MemberVersion(2, "0.2.0"));
+    private final Heartbeat heartbeat = Fixtures.heartbeat();
 
     @Test
     void aHeartbeatIsReadAsItWasWritten() throws BadMessageException {
--- a/src/test/java/org/spruceridge/sim/SimState.java
+++ b/src/test/java/org/spruceridge/sim/SimState.java
@@ -71,7 +71,7 @@
         valueKb = nextValueKb;
         txnOps = nextTxnOps;
         writes = new Limit("writes", writeRps, 1, loop::nanos);
-        writesRefused = true;
+        refuseChangesBeyondTheRate();
     }
 
     /** Answers 429 to changes beyond the rate, as the service does, where a scenario would otherwise fail. */
--- a/src/test/java/org/spruceridge/upgrade/WrittenFormsTest.java
+++ b/src/test/java/org/spruceridge/upgrade/WrittenFormsTest.java
@@ -31,13 +31,12 @@
 import org.spruceridge.net.BadMessageException;
 import org.spruceridge.net.Json;
 import org.spruceridge.peer.Heartbeat;
-import org.spruceridge.peer.Heartbeat.Progress;
-import org.spruceridge.peer.MemberVersion;
 import org.spruceridge.record.BindingsRecord;
 import org.spruceridge.record.CatalogueRecord;
 import org.spruceridge.record.FinishedRecord;
 import org.spruceridge.record.JobRecord;
 import org.spruceridge.record.LeaderRecord;
+import org.spruceridge.sim.Fixtures;
 import org.spruceridge.sim.ProductionVersion;
 
 /**
@@ -104,17 +103,6 @@
         return new CatalogueRecord(ImmutableMap.of("t4", type)).write();
     }
 
-    private static Heartbeat heartbeat() {
-        return new Heartbeat(
-                "n0",
-                true,
-                false,
-                7,
-                ImmutableMap.of("j-000001", new Progress(3, 4)),
-                ImmutableList.of("j-000002"),
-                new MemberVersion(2, "0.2.0"));
-    }
-
     @Test
     void recordsAreWrittenAsBefore() {
         assertEquals(
@@ -155,7 +143,7 @@
     void aHeartbeatIsLongerThanBeforeAtItsEndOnly() {
         assertEquals(
                 "98A26E30C3C20781A86A2D30303030303192030491A86A2D30303030303202A5302E322E30",
-                BaseEncoding.base16().encode(heartbeat().write()));
+                BaseEncoding.base16().encode(Fixtures.heartbeat().write()));
     }
 
     /** Production's reader takes what we write at the base level, and writes it again as it was. */
@@ -184,7 +172,7 @@
                                 ProductionVersion.load("peer.Heartbeat"),
                                 "read",
                                 null,
-                                heartbeat().write())
+                                Fixtures.heartbeat().write())
                         .toString());
     }
 
@@ -210,7 +198,7 @@
     /** Production says nothing of its version: six fields, no more. */
     @Test
     void aHeartbeatOfProductionAnnouncesNoLevel() throws BadMessageException {
-        byte[] ours = heartbeat().write();
+        byte[] ours = Fixtures.heartbeat().write();
         byte[] theirs = java.util.Arrays.copyOf(ours, ours.length - "0.2.0".length() - 2);
         theirs[0] = (byte) 0x96;
         assertEquals(
