--- a/review/standins/Http.java
+++ b/review/standins/Http.java
@@ -13,10 +13,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 
 /** HTTP/1.1 over blocking sockets on loopback: messages, a server, a client connection and a proxy. */
 final class Http {
     static final String LOCAL = "127.0.0.1";
+    private static final Random PORTS = new Random();
 
     private Http() {}
 
@@ -153,10 +155,17 @@
         }
     }
 
+    /** A free port below the range from which the system takes the ports of clients. */
     static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(LOCAL))) {
-            return socket.getLocalPort();
+        for (int i = 0; i < 200; i++) {
+            int port = 20_000 + PORTS.nextInt(10_000);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(LOCAL))) {
+                return port;
+            } catch (IOException e) {
+                // in use: the next one
+            }
         }
+        throw new IOException("no free port");
     }
 
     /** Answers requests; null closes the connection without an answer. */
@@ -290,6 +299,16 @@
         }
     }
 
+    /** Thrown by a hook: the proxy answers in place of the target. */
+    static final class Answer extends IOException {
+        private static final long serialVersionUID = 1;
+        final transient Message message;
+
+        Answer(Message message) {
+            this.message = message;
+        }
+    }
+
     /** What a proxy does to the messages that pass. A hook that throws an IOException resets the connection. */
     interface Hook {
         default void request(Message request) throws IOException {}
@@ -306,6 +325,8 @@
                 Message response = target.get().call(request, 120_000);
                 hook.response(request, response);
                 return response;
+            } catch (Answer answer) {
+                return answer.message;
             } catch (IOException e) {
                 return null;
             }
--- a/review/standins/Recorder.java
+++ b/review/standins/Recorder.java
@@ -17,6 +17,8 @@
     private final PrintWriter out;
     private final Map<String, TreeMap<String, Long>> machinesByTask = new HashMap<>();
     private final List<String> broken = new ArrayList<>();
+    /** Receives the name of each task that leaves a machine, and the reason. */
+    volatile java.util.function.BiConsumer<String, String> onOff = (task, why) -> {};
 
     Recorder(Path file) throws IOException {
         out = new PrintWriter(Files.newBufferedWriter(file, StandardCharsets.UTF_8), true);
@@ -56,6 +58,7 @@
         TreeMap<String, Long> machines = machinesByTask.get(task);
         if (machines != null && machines.remove(machine) != null) {
             write(machine, "task " + task + " try " + attempt + " is off " + machine + ": " + why);
+            onOff.accept(task, why);
         }
     }
 
--- a/review/standins/Site.java
+++ b/review/standins/Site.java
@@ -26,7 +26,9 @@
         final int servePort;
         final int peerPort;
         final Path settings;
-        Process process;
+        volatile Process process;
+        /** The port of the state service as this node sees it. */
+        int statePort = state.port();
 
         Node(String name, int servePort, int peerPort) {
             this.name = name;
@@ -101,6 +103,11 @@
         for (int i = 0; i < 3; i++) {
             nodes.add(new Node("ranger-" + i, Http.freePort(), Http.freePort()));
         }
+        writeSettings();
+    }
+
+    /** Writes the settings file of each node. */
+    void writeSettings() throws IOException {
         for (Node node : nodes) {
             Files.writeString(node.settings, Json.write(settings(node)));
         }
@@ -132,7 +139,7 @@
                 "serve_on", address(node.servePort),
                 "peer_listen", address(node.peerPort),
                 "members", members,
-                "endpoints", Json.of("cloud", address(cloud.port()), "state", address(state.port())),
+                "endpoints", Json.of("cloud", address(cloud.port()), "state", address(node.statePort)),
                 "facts", Json.of(
                         "initial_size", 3,
                         "zones", ZONES,
@@ -160,7 +167,7 @@
         return ports;
     }
 
-    Worker addWorker(String name, String zone, boolean spot, Map<String, Integer> nodePorts, Worker.Ending ending)
+    synchronized Worker addWorker(String name, String zone, boolean spot, Map<String, Integer> nodePorts, Worker.Ending ending)
             throws IOException {
         Worker.Site site = new Worker.Site(nodePorts, jobs, REPORT_S, LEASE_S);
         Worker worker = new Worker(recorder, site, name, zone, spot, ending, name.hashCode());
@@ -220,6 +227,10 @@
         return user(node, "GET", "/api/jobs/" + id, "").json();
     }
 
+    void abort(Node node, String id) throws IOException {
+        user(node, "POST", "/api/jobs/" + id + "/abort", "");
+    }
+
     private Http.Message user(Node node, String method, String target, String body) throws IOException {
         for (int i = 0; i < 20; i++) {
             recorder.write("user", method + " " + target + " to " + node.name + " " + body);
