--- a/review/standins/Site.java
+++ b/review/standins/Site.java
@@ -186,7 +186,7 @@
         await("the nodes are healthy and one leads", 25_000,
                 () -> nodes.stream().allMatch(Node::isHealthy) && nodes.stream().anyMatch(Node::leads));
         workers.forEach(Worker::start);
-        await("all workers have seen a token", 15_000, () -> workers.stream().allMatch(w -> w.warrant() > 0));
+        await("all workers have reported with a token", 15_000, () -> workers.stream().allMatch(Worker::isKnown));
     }
 
     Node leader() throws IOException {
--- a/review/standins/Worker.java
+++ b/review/standins/Worker.java
@@ -52,6 +52,7 @@
     private long tokenChangeAt = System.nanoTime() - 100_000_000_000L;
     private boolean changed;
     private boolean reporting;
+    private boolean known;
     private long noticeUntil;
     private volatile boolean stopped;
 
@@ -130,8 +131,9 @@
         return (nextAt - System.nanoTime()) / 1_000_000;
     }
 
-    synchronized long warrant() {
-        return warrant;
+    /** True once a report with a token was answered: from then on, the leader can start tasks here. */
+    synchronized boolean isKnown() {
+        return known;
     }
 
     /** The stage of an attempt; null if the worker does not know it. */
@@ -184,6 +186,7 @@
             String body;
             long session;
             long sent;
+            long token;
             synchronized (this) {
                 try {
                     long now = System.nanoTime();
@@ -201,6 +204,7 @@
                 changed = false;
                 body = body();
                 session = watch;
+                token = warrant;
                 sentAt = System.nanoTime();
                 sent = sentAt;
                 nextAt = sent + (long) (site.reportS() * (0.75 + 0.5 * random.nextDouble()) * 1e9);
@@ -226,6 +230,7 @@
                     return;
                 }
                 if (response != null && response.status() == 200) {
+                    known |= token > 0;
                     accept(response.json(), session, sent);
                     continue;
                 }
