--- a/review/standins/Worker.java
+++ b/review/standins/Worker.java
@@ -273,6 +273,9 @@
 
     private Http.Message handle(Http.Message request) {
         synchronized (this) {
+            if (stopped) {
+                return null;
+            }
             if (request.path().equals("/status")) {
                 return Http.response(200, body());
             }
