A start in a delayed heartbeat response keeps its task bound

Task 3 started on machine B at 6.1 s and on machine A at 7.6 s.

Cause: a status that is newer by (incarnation, sequence) than all earlier ones and does not list a task counted as proof that the task is gone for good. The status in the result of a direct command can arrive while the worker still waits for the response to its heartbeat. A start in that response was not considered; only direct starts without a result were.

Heartbeat 7 is answered at 4.598 s with the start, the result of the direct command (status 8, notice, task not listed) releases the task at 5.785 s, the response arrives at 7.599 s.

Change: StartCommands (before: DirectCommands) keeps the starts in the response to the latest heartbeat until the worker sends another heartbeat or begins a new incarnation. It works for any delay, because a worker has at most one heartbeat in flight and sends the next one only after it executed the response or gave it up. All reasons for a release (notice, stop, cancellation, suspect, cordoned and terminating machines) pass this check. SimNet can now delay a request or a response that still arrives.

--- a/src/main/java/org/spruceridge/autoscaling/ScaleInCycle.java
+++ b/src/main/java/org/spruceridge/autoscaling/ScaleInCycle.java
@@ -96,10 +96,10 @@
      * way to rule that out.
      */
     private static boolean canStartOfCancelledTaskStillArrive(Machine machine) {
-        return machine.directCommands().hasUncertainStart()
+        return machine.startCommands().hasUncertainStart()
                 && machine.bindings().stream()
                         .anyMatch(binding -> binding.job().isCancelled()
                                 && binding.phase() == Binding.Phase.ABSENT
-                                && machine.directCommands().isStartUnresolved(binding.attempt()));
+                                && machine.startCommands().isDirectStartUnresolved(binding.attempt()));
     }
 }
--- a/src/main/java/org/spruceridge/cluster/Machine.java
+++ b/src/main/java/org/spruceridge/cluster/Machine.java
@@ -4,7 +4,7 @@
 
 /**
  * The state of a machine in the memory of this term's leader. Separate objects hold the heartbeat version, the worker
- * lease, signs of failure, direct commands, the reclaim notice, and the bindings with the used capacity. All times are
+ * lease, signs of failure, start commands, the reclaim notice, and the bindings with the used capacity. All times are
  * nanoseconds on the monotonic clock.
  */
 public final class Machine {
@@ -14,7 +14,7 @@
     private final HeartbeatVersion heartbeatVersion = new HeartbeatVersion();
     private final WorkerLease lease;
     private final FailureSuspicion suspicion = new FailureSuspicion();
-    private final DirectCommands directCommands = new DirectCommands();
+    private final StartCommands startCommands = new StartCommands();
     private final SpotReclaim reclaim = new SpotReclaim();
     private final MachineAllocation allocation;
     private String address;
@@ -82,9 +82,9 @@
         return suspicion;
     }
 
-    /** Start commands that were sent directly to the machine's worker and can still arrive. */
-    public DirectCommands directCommands() {
-        return directCommands;
+    /** Start commands that were sent to the machine's worker and can still be executed. */
+    public StartCommands startCommands() {
+        return startCommands;
     }
 
     /** The notice that the cloud is about to reclaim the machine; not announced if there is none. */
@@ -151,6 +151,7 @@
     /** Records a periodic heartbeat of the worker, as opposed to the heartbeat in the result of a direct command. */
     public void recordHeartbeat(long heartbeatIncarnation, long heartbeatSequence, String heartbeatAddress, long now) {
         recordStatus(heartbeatIncarnation, heartbeatSequence, heartbeatAddress, now);
+        startCommands.recordHeartbeat();
         lease.recordHeartbeat(now);
     }
 
@@ -171,7 +172,7 @@
     }
 
     private void beginIncarnation(long now) {
-        directCommands.clear();
+        startCommands.clear();
         lease.beginIncarnation(now);
         if (heartbeatVersion.hasIncarnation()) {
             // The worker's previous lease expired. Responses possibly do not reach the worker, so the machine is
@@ -184,7 +185,7 @@
     public void endIncarnation() {
         heartbeatVersion.endIncarnation();
         lease.endIncarnation();
-        directCommands.clear();
+        startCommands.clear();
     }
 
     /** True if the worker has not executed a pending command, or if the machine is suspect. */
@@ -211,7 +212,7 @@
     public boolean isUnschedulable() {
         return suspicion.isCordoned()
                 || reclaim.isAnnounced()
-                || directCommands.hasUncertainStart()
+                || startCommands.hasUncertainStart()
                 || suspicion.isSuspect();
     }
 
--- a/src/main/java/org/spruceridge/dispatch/CommandBatch.java
+++ b/src/main/java/org/spruceridge/dispatch/CommandBatch.java
@@ -33,7 +33,7 @@
         switch (command.verb()) {
             case START -> {
                 // Only the first start command of a binding is sent directly. Heartbeat responses carry the retries.
-                if (binding.isStartSent() || binding.machine().directCommands().hasUncertainStart()) {
+                if (binding.isStartSent() || binding.machine().startCommands().hasUncertainStart()) {
                     return;
                 }
                 bindingsToStart.add(binding);
--- a/src/main/java/org/spruceridge/dispatch/CommandSender.java
+++ b/src/main/java/org/spruceridge/dispatch/CommandSender.java
@@ -96,7 +96,7 @@
         machinesAwaitingResponse.add(machine);
         long incarnation = machine.incarnation();
         for (Binding binding : batch.bindingsToStart()) {
-            machine.directCommands().recordStartSent(binding.attempt());
+            machine.startCommands().recordDirectStartSent(binding.attempt());
         }
         workers.send(
                 address,
@@ -126,11 +126,11 @@
     private void resolveStarts(Machine machine, long incarnation, CommandBatch batch, CommandResult result) {
         if (result.kind() != CommandResult.Kind.UNKNOWN) {
             for (Binding binding : batch.bindingsToStart()) {
-                machine.directCommands().recordStartResolved(binding.attempt());
+                machine.startCommands().recordDirectStartResolved(binding.attempt());
             }
         } else if (!batch.bindingsToStart().isEmpty() && machine.incarnation() == incarnation) {
             LOG.info("machine excluded from scheduling machine={} reason=start-unanswered", machine.name());
-            machine.directCommands().markStartUncertain();
+            machine.startCommands().markStartUncertain();
         }
     }
 
--- a/src/main/java/org/spruceridge/reconciliation/BindingReconciler.java
+++ b/src/main/java/org/spruceridge/reconciliation/BindingReconciler.java
@@ -84,13 +84,13 @@
     }
 
     /**
-     * Returns whether the task is not running and will not be started. An unresolved direct start could still start the
-     * task.
+     * Returns whether the task is not running and will not be started. A start command that can still arrive could
+     * start the task, whatever the heartbeat lists.
      */
     private static boolean isAbandoned(Binding binding) {
         return binding.stage() == Binding.Stage.COMMITTED
                 && CommandSelector.isStartForbidden(binding)
-                && !binding.machine().directCommands().isStartUnresolved(binding.attempt());
+                && !binding.machine().startCommands().canStillArrive(binding.attempt());
     }
 
     private void applyStatus(Binding binding, TaskStatus status, long now) {
--- a/src/main/java/org/spruceridge/reconciliation/HeartbeatHandler.java
+++ b/src/main/java/org/spruceridge/reconciliation/HeartbeatHandler.java
@@ -47,9 +47,23 @@
     public List<WorkerCommand> handle(WorkerHeartbeat heartbeat) {
         HeartbeatResult result = apply(heartbeat, HeartbeatOrigin.WORKER_REQUEST);
         leaseRenewals.record(heartbeat);
-        return result instanceof Reconciled reconciled
-                ? reconciled.commands()
-                : commandSelector.stopsForEndedJobs(heartbeat);
+        if (result instanceof Reconciled reconciled) {
+            recordStarts(cluster.machine(heartbeat.machine()), reconciled.commands());
+            return reconciled.commands();
+        }
+        return commandSelector.stopsForEndedJobs(heartbeat);
+    }
+
+    /**
+     * Records the starts in the response to a heartbeat. Until the next heartbeat, the worker can still execute them,
+     * even if the result of a direct command shows that it has not executed them yet.
+     */
+    private static void recordStarts(Machine machine, List<WorkerCommand> commands) {
+        machine.startCommands()
+                .recordResponse(commands.stream()
+                        .filter(command -> command.verb() == WorkerCommand.Verb.START)
+                        .map(WorkerCommand::attempt)
+                        .toList());
     }
 
     /**
--- a/src/test/java/org/spruceridge/sim/SimNet.java
+++ b/src/test/java/org/spruceridge/sim/SimNet.java
@@ -16,12 +16,19 @@
 /** An in-memory network that can lose, hold, duplicate and delay messages. */
 public final class SimNet {
     private static final long LATENCY_NANOS = Durations.millis(1);
+    private static final long REQUEST_DELAY_NANOS = Durations.nanos(2);
+    /** Shorter than the 4 s after which a worker ignores the response to a heartbeat. */
+    private static final long RESPONSE_DELAY_NANOS = Durations.nanos(3);
 
     /** How the network delivers a request. */
     public enum Delivery {
         DELIVERED,
         /** The request arrives after 100 ms instead of 1 ms. */
         SLOW,
+        /** The request arrives after 2 s, and its response arrives. */
+        REQUEST_DELAYED,
+        /** The request arrives, and its response arrives 3 s later. */
+        RESPONSE_DELAYED,
         /** The request never arrives. */
         LOST,
         /** The request is processed, but its response never arrives. */
@@ -39,7 +46,7 @@
 
         private boolean isAnswered() {
             return switch (this) {
-                case DELIVERED, SLOW, DUPLICATED, DUPLICATED_LATE, REFUSED -> true;
+                case DELIVERED, SLOW, REQUEST_DELAYED, RESPONSE_DELAYED, DUPLICATED, DUPLICATED_LATE, REFUSED -> true;
                 case LOST, RESPONSE_LOST, HELD, DELAYED -> false;
             };
         }
@@ -159,8 +166,9 @@
             Delivery delivery = isRefused(from, to) ? Delivery.REFUSED : faultPolicy.deliveryOf(from, to, call);
             Runnable arrival = () -> arrive(delivery);
             switch (delivery) {
-                case DELIVERED, RESPONSE_LOST -> loop.after(LATENCY_NANOS, arrival);
+                case DELIVERED, RESPONSE_LOST, RESPONSE_DELAYED -> loop.after(LATENCY_NANOS, arrival);
                 case SLOW -> loop.after(Durations.millis(100), arrival);
+                case REQUEST_DELAYED -> loop.after(REQUEST_DELAY_NANOS, arrival);
                 case HELD -> heldMessages.add(arrival);
                 case DUPLICATED -> {
                     loop.after(LATENCY_NANOS, arrival);
@@ -196,7 +204,7 @@
         }
 
         private void deliverResponse(Delivery delivery, HttpAnswer response) {
-            process.after(LATENCY_NANOS, () -> {
+            process.after(delivery == Delivery.RESPONSE_DELAYED ? RESPONSE_DELAY_NANOS : LATENCY_NANOS, () -> {
                 if (delivery.isAnswered()) {
                     complete(response);
                 }
