An attempt is forgotten only once no duplicate of its start command can run

The attempt failed on machine A and was forgotten; a repeat of its direct start command then started it while the next attempt ran on machine B.

Cause: an answered direct start counted as harmless. It is harmless only while the worker knows the attempt or rejects the command. The command to forget removed the first, and all direct commands of a term had the same token, so nothing gave the second.

The restart of the leader is not needed: the scenario without it fails in the same way.

Change: the worker is told to forget an attempt that was started directly only after it has accepted a higher fencing token than that of the command. The leader raises the token of that worker (FencingTokenRaiser), at most once per half of a lease, or at 16 such attempts. It works for any lateness: a worker that has seen the higher token rejects the repeat.

--- a/src/main/java/org/spruceridge/cluster/StartCommands.java
+++ b/src/main/java/org/spruceridge/cluster/StartCommands.java
@@ -1,18 +1,27 @@
 package org.spruceridge.cluster;
 
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Set;
 
 /**
- * Start commands that were sent to the current incarnation of a worker and can still be executed. A start command is
- * sent directly, in a request to the worker, or in the response to a heartbeat.
+ * Start commands that were sent to the current incarnation of a worker and can still be executed, or executed again. A
+ * start command is sent directly, in a request to the worker, or in the response to a heartbeat.
  */
 public final class StartCommands {
     private final Set<Long> unresolvedDirectStarts = new HashSet<>();
     /** The attempts that the response to the latest heartbeat starts. */
     private final Set<Long> startsInResponse = new HashSet<>();
 
+    /**
+     * The fencing token of each direct start that a worker would execute again if the worker did not know the attempt,
+     * by attempt.
+     */
+    private final Map<Long, Long> repeatableStartTokens = new HashMap<>();
+
+    private long acceptedFencingToken;
     private boolean startUncertain;
 
     StartCommands() {}
@@ -30,9 +39,32 @@
         return unresolvedDirectStarts.contains(attempt);
     }
 
-    /** Records that a start command for this attempt is sent directly. */
-    public void recordDirectStartSent(long attempt) {
+    /**
+     * True if a duplicate of a direct start command for this attempt can still be executed. The network can deliver a
+     * request again, at any time. A worker that knows the attempt ignores the duplicate; a worker that has forgotten
+     * the attempt starts it again, unless the worker has accepted a fencing token higher than that of the command.
+     */
+    public boolean isRepeatable(long attempt) {
+        return repeatableStartTokens.containsKey(attempt);
+    }
+
+    /** True if the worker will not start this attempt again after it has forgotten the attempt. */
+    public boolean isForgettable(long attempt) {
+        return !canStillArrive(attempt) && !isRepeatable(attempt);
+    }
+
+    /** Records that a start command for this attempt is sent directly, with this fencing token. */
+    public void recordDirectStartSent(long attempt, long fencingToken) {
         unresolvedDirectStarts.add(attempt);
+        repeatableStartTokens.put(attempt, fencingToken);
+    }
+
+    /** Records that the worker has accepted this fencing token. It rejects direct commands with a lower token. */
+    public void recordAcceptedFencingToken(long fencingToken) {
+        if (fencingToken > acceptedFencingToken) {
+            acceptedFencingToken = fencingToken;
+            repeatableStartTokens.values().removeIf(token -> token < fencingToken);
+        }
     }
 
     /** Records that the result of the direct start command for this attempt is known. */
@@ -71,6 +103,7 @@
     void clear() {
         unresolvedDirectStarts.clear();
         startsInResponse.clear();
+        repeatableStartTokens.clear();
         startUncertain = false;
     }
 }
--- a/src/main/java/org/spruceridge/cluster/WorkerLease.java
+++ b/src/main/java/org/spruceridge/cluster/WorkerLease.java
@@ -9,6 +9,8 @@
     private long lastRenewal;
     private boolean fenced;
     private long fencingTokenSentAt = EventTimes.NOT_HAPPENED;
+    private long raisedFencingToken;
+    private long fencingTokenRaisedAt = EventTimes.NOT_HAPPENED;
 
     WorkerLease(long lastHeartbeat, long lastRenewal) {
         this.lastHeartbeat = lastHeartbeat;
@@ -43,16 +45,32 @@
         lastRenewal = Math.max(lastRenewal, renewedAt);
     }
 
-    /** True once a heartbeat has contained the fencing token of this term. The worker then rejects older leaders. */
+    /** True once a heartbeat has contained a fencing token of this term. The worker then rejects older leaders. */
     public boolean isFenced() {
         return fenced;
     }
 
-    /** Records that an accepted heartbeat contained the fencing token of this term. */
+    /** Records that an accepted heartbeat contained a fencing token of this term. */
     public void fence() {
         fenced = true;
     }
 
+    /** The fencing token to which this leader raised the worker's token; 0 if it has not raised the token. */
+    public long raisedFencingToken() {
+        return raisedFencingToken;
+    }
+
+    /** Records that all further commands and responses to the worker contain this higher fencing token. */
+    public void raiseFencingToken(long token, long now) {
+        raisedFencingToken = token;
+        fencingTokenRaisedAt = now;
+    }
+
+    /** True if the worker's fencing token was not raised within the last {@code durationNanos}. */
+    public boolean isFencingTokenOlderThan(long durationNanos, long now) {
+        return !EventTimes.hasHappened(fencingTokenRaisedAt) || now - fencingTokenRaisedAt > durationNanos;
+    }
+
     /**
      * True if this term's fencing token was sent longer ago than the timeout and no heartbeat has contained the token
      * since then.
--- a/src/main/java/org/spruceridge/dispatch/CommandSender.java
+++ b/src/main/java/org/spruceridge/dispatch/CommandSender.java
@@ -12,6 +12,7 @@
 import org.spruceridge.net.Durations;
 import org.spruceridge.net.Loop;
 import org.spruceridge.reconciliation.HeartbeatHandler;
+import org.spruceridge.term.FencingTokens;
 import org.spruceridge.term.LeaderContext;
 import org.spruceridge.worker.CommandResult;
 import org.spruceridge.worker.WorkerClient;
@@ -25,6 +26,10 @@
  * <p>A late stop is harmless, because it stops only the attempt that it names and no later attempt of the task. A late
  * start is not harmless, because its binding may have been released in the meantime.
  *
+ * <p>A worker that has executed a direct start can receive a duplicate of it at any time. The duplicate has no effect
+ * while the worker knows the attempt. Therefore the worker may forget the attempt only once it has accepted a higher
+ * fencing token, see {@link org.spruceridge.cluster.StartCommands#isForgettable}.
+ *
  * <p>A direct start is unresolved until its result is known. While the start is unresolved, a heartbeat without the
  * task does not prove that the task is gone. During this time, the worker gets no command to forget the attempt. A
  * machine that does not answer a direct start gets no more tasks and is terminated.
@@ -34,11 +39,11 @@
 
     private final Loop loop;
     private final CancellationScope scope;
+    private final FencingTokens fencingTokens;
     private final WorkerClient workers;
     private final HeartbeatHandler heartbeatHandler;
     private final BooleanSupplier isLeader;
     private final Runnable onRequestCompleted;
-    private final long term;
     private final long timeoutNanos;
     /** Machines to which a request is in flight. */
     private final Set<Machine> machinesAwaitingResponse = new HashSet<>();
@@ -51,16 +56,17 @@
      */
     public CommandSender(
             LeaderContext context,
+            FencingTokens fencingTokens,
             WorkerClient workers,
             HeartbeatHandler heartbeatHandler,
             Runnable onRequestCompleted) {
         this.loop = context.loop();
         this.scope = context.scope();
+        this.fencingTokens = fencingTokens;
         this.workers = workers;
         this.heartbeatHandler = heartbeatHandler;
         this.isLeader = context.isLeader();
         this.onRequestCompleted = onRequestCompleted;
-        this.term = context.term().term();
         this.timeoutNanos = Durations.nanos(context.settings().workers().leaseS() / 4);
     }
 
@@ -95,12 +101,13 @@
         }
         machinesAwaitingResponse.add(machine);
         long incarnation = machine.incarnation();
+        long fencingToken = fencingTokens.current(machine);
         for (Binding binding : batch.bindingsToStart()) {
-            machine.startCommands().recordDirectStartSent(binding.attempt());
+            machine.startCommands().recordDirectStartSent(binding.attempt(), fencingToken);
         }
         workers.send(
                 address,
-                term,
+                fencingToken,
                 incarnation,
                 batch.commands(),
                 timeoutNanos,
--- a/src/main/java/org/spruceridge/leader/HeartbeatResponder.java
+++ b/src/main/java/org/spruceridge/leader/HeartbeatResponder.java
@@ -6,6 +6,7 @@
 import org.slf4j.LoggerFactory;
 import org.spruceridge.net.Response;
 import org.spruceridge.reconciliation.HeartbeatHandler;
+import org.spruceridge.reconciliation.HeartbeatReply;
 import org.spruceridge.term.HeartbeatOutcome;
 import org.spruceridge.term.LeaderContext;
 import org.spruceridge.term.LeaderMetrics;
@@ -19,14 +20,14 @@
     private final long term;
     private final LeaderMetrics metrics;
     private final HeartbeatHandler heartbeatHandler;
-    private final Response responseWithoutCommands;
+    private final Response responseWithFirstToken;
     private boolean duringFailover = true;
 
     HeartbeatResponder(LeaderContext context, HeartbeatHandler heartbeatHandler) {
         this.term = context.term().term();
         this.metrics = context.metrics();
         this.heartbeatHandler = heartbeatHandler;
-        this.responseWithoutCommands = WorkerCommand.heartbeatResponse(term, List.of());
+        this.responseWithFirstToken = WorkerCommand.heartbeatResponse(term, List.of());
     }
 
     /** Called when the cluster state is complete. Later heartbeats are reconciled with it. */
@@ -51,7 +52,8 @@
         return Optional.of(respond(heartbeat, heartbeatHandler.handle(heartbeat)));
     }
 
-    private Response respond(WorkerHeartbeat heartbeat, List<WorkerCommand> commands) {
+    private Response respond(WorkerHeartbeat heartbeat, HeartbeatReply reply) {
+        List<WorkerCommand> commands = reply.commands();
         long stopCount = countStops(commands);
         HeartbeatOutcome outcome = outcome(stopCount);
         metrics.count(outcome);
@@ -65,7 +67,9 @@
                     outcome,
                     stopCount);
         }
-        return commands.isEmpty() ? responseWithoutCommands : WorkerCommand.heartbeatResponse(term, commands);
+        return commands.isEmpty() && reply.fencingToken() == term
+                ? responseWithFirstToken
+                : WorkerCommand.heartbeatResponse(reply.fencingToken(), commands);
     }
 
     private HeartbeatOutcome outcome(long stopCount) {
--- a/src/main/java/org/spruceridge/leader/Leader.java
+++ b/src/main/java/org/spruceridge/leader/Leader.java
@@ -30,6 +30,7 @@
 import org.spruceridge.record.BindingsRecord;
 import org.spruceridge.schedule.Matching;
 import org.spruceridge.state.StateClient;
+import org.spruceridge.term.FencingTokens;
 import org.spruceridge.term.LeaderContext;
 import org.spruceridge.term.LeaderTerm;
 import org.spruceridge.upgrade.ClusterFeatureLevel;
@@ -58,6 +59,7 @@
     private final LeaderTerm term;
     private final long maxCycleIntervalNanos;
     private final RecordWriter recordWriter;
+    private final FencingTokens fencingTokens;
     private final HeartbeatResponder heartbeatResponder;
     private final SchedulingLoop schedulingLoop;
     private final CommandSender commandSender;
@@ -132,10 +134,13 @@
         this.maxCycleIntervalNanos =
                 Durations.nanos(settings.workers().heartbeatIntervalS() * MAX_CYCLE_INTERVAL_HEARTBEATS);
         this.recordWriter = new RecordWriter(context, state, new WriteListener(resign));
-        HeartbeatHandler heartbeatHandler = new HeartbeatHandler(context, recordWriter, this::machineAvailable);
+        this.fencingTokens = new FencingTokens(context, state);
+        HeartbeatHandler heartbeatHandler =
+                new HeartbeatHandler(context, fencingTokens, recordWriter, this::machineAvailable);
         this.heartbeatResponder = new HeartbeatResponder(context, heartbeatHandler);
         this.schedulingLoop = new SchedulingLoop(context, recordWriter, newMatching(), this::sendDueCommands, resign);
-        this.commandSender = new CommandSender(context, workers, heartbeatHandler, schedulingLoop::request);
+        this.commandSender =
+                new CommandSender(context, fencingTokens, workers, heartbeatHandler, schedulingLoop::request);
         this.jobWatcher =
                 new JobWatcher(context, state, recordWriter, commandSender::sendDueCommands, schedulingLoop::request);
         this.failover = new Failover(context, state, recordWriter.records());
@@ -206,11 +211,16 @@
         scope.close();
     }
 
-    /** The term number, which is also the fencing token of the term's commands. */
+    /** The term number, which is also the first fencing token of the term's commands. */
     public long term() {
         return term.term();
     }
 
+    /** True if this fencing token belongs to a later term, so that another node has become the leader. */
+    public boolean isOfLaterTerm(long fencingToken) {
+        return fencingTokens.isOfLaterTerm(fencingToken);
+    }
+
     /** Nanoseconds since this node won the term. */
     public long termAgeNanos() {
         return loop.nanos() - term.electedAtNanos();
--- a/src/main/java/org/spruceridge/node/HeartbeatEndpoint.java
+++ b/src/main/java/org/spruceridge/node/HeartbeatEndpoint.java
@@ -76,7 +76,7 @@
     }
 
     private Response respond(Leader leader, WorkerHeartbeat heartbeat) {
-        if (heartbeat.fencingToken() > leader.term()) {
+        if (leader.isOfLaterTerm(heartbeat.fencingToken())) {
             metrics.count(HeartbeatOutcome.NEWER_TERM);
             return Response.error(503, "a newer leader was seen");
         }
--- a/src/main/java/org/spruceridge/reconciliation/CommandSelector.java
+++ b/src/main/java/org/spruceridge/reconciliation/CommandSelector.java
@@ -51,9 +51,9 @@
         if (!status.hasExited()) {
             orphanBindings.add(machine, status, now);
             commands.add(WorkerCommand.stopImmediately(status.task(), status.attempt()));
-        } else if (!machine.startCommands().canStillArrive(status.attempt())) {
-            // A worker ignores a late start of an attempt that the worker knows. Therefore the worker is told to forget
-            // the attempt only after the start is resolved.
+        } else if (machine.startCommands().isForgettable(status.attempt())) {
+            // A worker ignores a late or repeated start of an attempt that the worker knows. Therefore the worker is
+            // told to forget the attempt only once no such start can be executed.
             commands.add(WorkerCommand.forget(status.task(), status.attempt()));
         }
     }
--- /dev/null
+++ b/src/main/java/org/spruceridge/reconciliation/FencingTokenRaiser.java
@@ -0,0 +1,55 @@
+package org.spruceridge.reconciliation;
+
+import java.util.List;
+import org.spruceridge.cluster.Machine;
+import org.spruceridge.net.Durations;
+import org.spruceridge.net.Loop;
+import org.spruceridge.term.FencingTokens;
+import org.spruceridge.term.LeaderContext;
+import org.spruceridge.worker.WorkerHeartbeat;
+import org.spruceridge.worker.WorkerHeartbeat.TaskStatus;
+
+/**
+ * Raises the fencing token of a worker whose heartbeat lists exited attempts that the worker must not forget yet,
+ * because a duplicate of their direct start command could start them again. Once the worker has accepted the higher
+ * token, it rejects such duplicates and may forget the attempts. This bounds the length of heartbeats.
+ */
+final class FencingTokenRaiser {
+    /**
+     * The minimum time between two raises, in leases. A worker announces a higher token in an extra heartbeat at most
+     * once per half of a lease.
+     */
+    private static final double RAISE_INTERVAL_LEASES = 0.5;
+
+    /** With this number of exited attempts in one heartbeat, the token is raised without waiting for the interval. */
+    private static final int MAX_REPEATABLE_EXITED_ATTEMPTS = 16;
+
+    private final Loop loop;
+    private final FencingTokens fencingTokens;
+    private final long raiseIntervalNanos;
+
+    FencingTokenRaiser(LeaderContext context, FencingTokens fencingTokens) {
+        this.loop = context.loop();
+        this.fencingTokens = fencingTokens;
+        this.raiseIntervalNanos = Durations.nanos(context.settings().workers().leaseS() * RAISE_INTERVAL_LEASES);
+    }
+
+    /** Raises the token if it is time to. {@code unboundStatuses} are those of the heartbeat that match no binding. */
+    void raiseIfDue(Machine machine, WorkerHeartbeat heartbeat, List<TaskStatus> unboundStatuses) {
+        if (heartbeat.fencingToken() != fencingTokens.current(machine)) {
+            return; // the worker has not accepted the previous raise yet
+        }
+        long repeatableCount = unboundStatuses.stream()
+                .filter(TaskStatus::hasExited)
+                .filter(status -> machine.startCommands().isRepeatable(status.attempt()))
+                .count();
+        if (repeatableCount == 0) {
+            return;
+        }
+        long now = loop.nanos();
+        if (repeatableCount >= MAX_REPEATABLE_EXITED_ATTEMPTS
+                || machine.lease().isFencingTokenOlderThan(raiseIntervalNanos, now)) {
+            fencingTokens.raise(machine, now);
+        }
+    }
+}
--- a/src/main/java/org/spruceridge/reconciliation/HeartbeatAdmission.java
+++ b/src/main/java/org/spruceridge/reconciliation/HeartbeatAdmission.java
@@ -8,6 +8,7 @@
 import org.spruceridge.net.Durations;
 import org.spruceridge.net.Loop;
 import org.spruceridge.reconciliation.HeartbeatResult.Rejected;
+import org.spruceridge.term.FencingTokens;
 import org.spruceridge.term.LeaderContext;
 import org.spruceridge.worker.WorkerHeartbeat;
 
@@ -17,24 +18,24 @@
 
     private final Loop loop;
     private final Cluster cluster;
-    private final long term;
+    private final FencingTokens fencingTokens;
 
-    HeartbeatAdmission(LeaderContext context) {
+    HeartbeatAdmission(LeaderContext context, FencingTokens fencingTokens) {
         this.loop = context.loop();
         this.cluster = context.cluster();
-        this.term = context.term().term();
+        this.fencingTokens = fencingTokens;
     }
 
     /**
      * Returns the reason for rejecting a heartbeat; empty if the heartbeat is accepted. An accepted heartbeat carries
-     * this term's fencing token and is newer than all earlier accepted heartbeats of its machine. The worker no longer
+     * a fencing token of this term and is newer than all earlier accepted heartbeats of its machine. The worker no longer
      * executes commands of earlier leaders. Therefore a task that the heartbeat does not list is not on the machine. An
      * unknown machine is added to the cluster state.
      */
     Optional<Rejected> check(WorkerHeartbeat heartbeat) {
-        // A heartbeat without this term's token can be a duplicate of any age, even from a machine that no longer
+        // A heartbeat without a token of this term can be a duplicate of any age, even from a machine that no longer
         // exists. The response delivers the token to the worker, and the worker's next heartbeat carries the token.
-        if (heartbeat.fencingToken() != term) {
+        if (!fencingTokens.contains(heartbeat.fencingToken())) {
             return Optional.of(Rejected.OTHER_FENCING_TOKEN);
         }
         if (cluster.wasRemoved(heartbeat.machine())) {
@@ -64,6 +65,7 @@
             default -> throw new IllegalStateException("no such origin: " + origin);
         }
         machine.lease().fence();
+        machine.startCommands().recordAcceptedFencingToken(heartbeat.fencingToken());
         if (heartbeat.reclaimNoticeS().isPresent()) {
             long noticeNanos = Durations.nanos(heartbeat.reclaimNoticeS().getAsDouble());
             machine.reclaim().announce(now + noticeNanos);
--- a/src/main/java/org/spruceridge/reconciliation/HeartbeatHandler.java
+++ b/src/main/java/org/spruceridge/reconciliation/HeartbeatHandler.java
@@ -10,6 +10,7 @@
 import org.spruceridge.persistence.RecordWriter;
 import org.spruceridge.reconciliation.HeartbeatResult.Reconciled;
 import org.spruceridge.reconciliation.HeartbeatResult.Rejected;
+import org.spruceridge.term.FencingTokens;
 import org.spruceridge.term.LeaderContext;
 import org.spruceridge.worker.WorkerCommand;
 import org.spruceridge.worker.WorkerHeartbeat;
@@ -26,32 +27,44 @@
     private final BindingReconciler bindingReconciler;
     private final CommandSelector commandSelector;
     private final LeaseRenewals leaseRenewals;
+    private final FencingTokens fencingTokens;
+    private final FencingTokenRaiser fencingTokenRaiser;
     private final Consumer<Machine> onMachineAvailable;
 
     /**
      * {@code onMachineAvailable} is called for each machine with newly available capacity: after the machine's first
      * heartbeat of an incarnation or a term, and after a task on the machine has exited.
      */
-    public HeartbeatHandler(LeaderContext context, RecordWriter recordWriter, Consumer<Machine> onMachineAvailable) {
+    public HeartbeatHandler(
+            LeaderContext context,
+            FencingTokens fencingTokens,
+            RecordWriter recordWriter,
+            Consumer<Machine> onMachineAvailable) {
         OrphanBindings orphanBindings = new OrphanBindings(context.cluster(), context.warnings());
         this.loop = context.loop();
         this.cluster = context.cluster();
-        this.admission = new HeartbeatAdmission(context);
+        this.admission = new HeartbeatAdmission(context, fencingTokens);
         this.bindingReconciler = new BindingReconciler(context, recordWriter, orphanBindings, onMachineAvailable);
         this.commandSelector = new CommandSelector(context, orphanBindings);
-        this.leaseRenewals = new LeaseRenewals(context);
+        this.leaseRenewals = new LeaseRenewals(context, fencingTokens);
+        this.fencingTokens = fencingTokens;
+        this.fencingTokenRaiser = new FencingTokenRaiser(context, fencingTokens);
         this.onMachineAvailable = onMachineAvailable;
     }
 
-    /** Handles a heartbeat sent by a worker. Returns the commands of the response, which renews the worker's lease. */
-    public List<WorkerCommand> handle(WorkerHeartbeat heartbeat) {
+    /** Handles a heartbeat sent by a worker. Returns the content of the response, which renews the worker's lease. */
+    public HeartbeatReply handle(WorkerHeartbeat heartbeat) {
         HeartbeatResult result = apply(heartbeat, HeartbeatOrigin.WORKER_REQUEST);
         leaseRenewals.record(heartbeat);
         if (result instanceof Reconciled reconciled) {
-            recordStarts(cluster.machine(heartbeat.machine()), reconciled.commands());
-            return reconciled.commands();
+            Machine machine = reconciled.machine();
+            recordStarts(machine, reconciled.commands());
+            fencingTokenRaiser.raiseIfDue(machine, heartbeat, reconciled.unboundStatuses());
+            return new HeartbeatReply(fencingTokens.current(machine), reconciled.commands());
         }
-        return commandSelector.stopsForEndedJobs(heartbeat);
+        Machine machine = cluster.machine(heartbeat.machine());
+        long fencingToken = machine == null ? fencingTokens.first() : fencingTokens.current(machine);
+        return new HeartbeatReply(fencingToken, commandSelector.stopsForEndedJobs(heartbeat));
     }
 
     /**
@@ -70,9 +83,9 @@
      * Handles a heartbeat during the failover. All open jobs are known then, but machines and bindings are not known
      * yet.
      */
-    public List<WorkerCommand> handleDuringFailover(WorkerHeartbeat heartbeat) {
+    public HeartbeatReply handleDuringFailover(WorkerHeartbeat heartbeat) {
         leaseRenewals.recordDuringFailover(heartbeat);
-        return commandSelector.stopsForEndedJobs(heartbeat);
+        return new HeartbeatReply(fencingTokens.first(), commandSelector.stopsForEndedJobs(heartbeat));
     }
 
     /** Handles a heartbeat that arrived with the result of a direct command. Such a heartbeat gets no response. */
@@ -108,6 +121,7 @@
         if (machineBecomesAvailable) {
             onMachineAvailable.accept(machine);
         }
-        return new Reconciled(commandSelector.commandsFor(machine, unboundStatuses, now));
+        List<WorkerCommand> commands = commandSelector.commandsFor(machine, unboundStatuses, now);
+        return new Reconciled(machine, commands, unboundStatuses);
     }
 }
--- a/src/main/java/org/spruceridge/reconciliation/LeaseRenewals.java
+++ b/src/main/java/org/spruceridge/reconciliation/LeaseRenewals.java
@@ -6,6 +6,7 @@
 import org.spruceridge.cluster.Machine;
 import org.spruceridge.net.Durations;
 import org.spruceridge.net.Loop;
+import org.spruceridge.term.FencingTokens;
 import org.spruceridge.term.LeaderContext;
 import org.spruceridge.worker.WorkerHeartbeat;
 
@@ -13,7 +14,7 @@
 final class LeaseRenewals {
     private final Loop loop;
     private final Cluster cluster;
-    private final long term;
+    private final FencingTokens fencingTokens;
     private final long workerLeaseNanos;
     /**
      * The lease renewal times of machines that are not in the cluster state yet, by machine name. The times are on the
@@ -21,10 +22,10 @@
      */
     private final Map<String, Long> renewalTimesDuringFailover = new HashMap<>();
 
-    LeaseRenewals(LeaderContext context) {
+    LeaseRenewals(LeaderContext context, FencingTokens fencingTokens) {
         this.loop = context.loop();
         this.cluster = context.cluster();
-        this.term = context.term().term();
+        this.fencingTokens = fencingTokens;
         this.workerLeaseNanos = Durations.nanos(context.settings().workers().leaseS());
     }
 
@@ -32,7 +33,7 @@
     void record(WorkerHeartbeat heartbeat) {
         Machine machine = cluster.machine(heartbeat.machine());
         if (machine != null) {
-            machine.lease().recordRenewal(loop.nanos(), heartbeat.fencingToken() == term);
+            machine.lease().recordRenewal(loop.nanos(), fencingTokens.contains(heartbeat.fencingToken()));
         }
     }
 
@@ -65,8 +66,8 @@
         }
         // Fencing is overdue only after a whole lease, because responses can reach healthy workers too late shortly
         // after a failover.
-        boolean isFencingOverdue =
-                heartbeat.fencingToken() != term && machine.lease().isFencingOverdue(loop.nanos(), workerLeaseNanos);
+        boolean isFencingOverdue = !fencingTokens.contains(heartbeat.fencingToken())
+                && machine.lease().isFencingOverdue(loop.nanos(), workerLeaseNanos);
         return isFencingOverdue || (machine.isTerminating() && machine.awaitsAcknowledgement());
     }
 }
--- a/src/main/java/org/spruceridge/term/LeaderTerm.java
+++ b/src/main/java/org/spruceridge/term/LeaderTerm.java
@@ -6,7 +6,7 @@
 /**
  * A term that this node won.
  *
- * @param term the term number, which is also the fencing token of the term's commands
+ * @param term the term number, which is also the first fencing token of the term's commands
  * @param leaderRevision the modRevision of the leader key, on which every write of the term is conditional
  * @param electedAtNanos the time at which this node learned that it had won
  * @param featureLevel the cluster feature level at the time of the election
--- a/src/main/java/org/spruceridge/warmup/SyntheticLeader.java
+++ b/src/main/java/org/spruceridge/warmup/SyntheticLeader.java
@@ -18,10 +18,12 @@
 import org.spruceridge.persistence.RecordPages;
 import org.spruceridge.persistence.RecordWriter;
 import org.spruceridge.reconciliation.HeartbeatHandler;
+import org.spruceridge.reconciliation.HeartbeatReply;
 import org.spruceridge.record.BindingsRecord;
 import org.spruceridge.schedule.Matching;
 import org.spruceridge.state.InProcessStateService;
 import org.spruceridge.state.StateClient;
+import org.spruceridge.term.FencingTokens;
 import org.spruceridge.term.LeaderContext;
 import org.spruceridge.term.LeaderMetrics;
 import org.spruceridge.term.LeaderServices;
@@ -65,7 +67,8 @@
                 context.warnings(),
                 context.latencies());
         RecordWriter recordWriter = new RecordWriter(context, state, new WriteListener());
-        this.heartbeatHandler = new HeartbeatHandler(context, recordWriter, machine -> requestCycle());
+        this.heartbeatHandler = new HeartbeatHandler(
+                context, new FencingTokens(context, state), recordWriter, machine -> requestCycle());
         Matching matching = new Matching(
                 settings,
                 policy,
@@ -117,7 +120,8 @@
     private void handle(WorkerHeartbeat heartbeat) {
         try {
             WorkerHeartbeat decoded = WorkerHeartbeat.read(Json.bytes(heartbeat.toJson()));
-            WorkerCommand.heartbeatResponse(TERM, heartbeatHandler.handle(decoded));
+            HeartbeatReply reply = heartbeatHandler.handle(decoded);
+            WorkerCommand.heartbeatResponse(reply.fencingToken(), reply.commands());
         } catch (BadMessageException e) {
             throw new IllegalStateException("the warm-up's own heartbeat cannot be read", e);
         }
--- a/src/test/java/org/spruceridge/scenario/UpgradeScenarioTest.java
+++ b/src/test/java/org/spruceridge/scenario/UpgradeScenarioTest.java
@@ -96,6 +96,41 @@
         assertEquals(22, cluster.taskStarts().size(), "each task must start once");
     }
 
+    /**
+     * Guards against a token of the new version that is higher than the term of a later leader of the old version.
+     * Workers would ignore that leader.
+     */
+    @Test
+    void workersAcceptOldLeaderAfterNewLeaderRaisedFencingTokens() {
+        awaitLeader();
+        for (String node : List.of("n0", "n1")) {
+            cluster.nodes.upgrade(node, 1);
+            cluster.loop.run(2);
+        }
+        awaitLeaderOfVersion(false);
+        cluster.submit(SimJobs.array(1, 4).put("expectS", 100.0).put("cpus", 2.0));
+        cluster.submit(SimJobs.array(2, 20).put("expectS", 4.0));
+        cluster.await(() -> storedTerm("term") > storedTerm("leader"), 60);
+        cluster.loop.run(SimulatedCluster.LEASE_S); // tokens are raised
+        awaitLeaderOfVersion(true);
+        cluster.verifyRecovery(240);
+        assertEquals(24, cluster.taskStarts().size(), "each task must start once");
+    }
+
+    /** Crashes leaders until a node of the production version leads, or until one of the version under test leads. */
+    private void awaitLeaderOfVersion(boolean isProductionVersion) {
+        awaitLeader();
+        for (int i = 0; i < 10 && cluster.nodes.runsProductionVersion(cluster.leader()) != isProductionVersion; i++) {
+            cluster.nodes.crashLeader(5);
+            awaitLeader();
+        }
+        assertEquals(isProductionVersion, cluster.nodes.runsProductionVersion(cluster.leader()));
+    }
+
+    private long storedTerm(String key) {
+        return cluster.state.value(key).path("term").asLong();
+    }
+
     /** A cancellation confirmed by one version stays in force under the next leader of the other version. */
     @Test
     void cancellationSurvivesLeaderVersionChange() {
--- a/src/test/java/org/spruceridge/sim/SimWorker.java
+++ b/src/test/java/org/spruceridge/sim/SimWorker.java
@@ -145,6 +145,16 @@
                 .toList();
     }
 
+    /** True if the worker lists an attempt of the task, whether running or exited. */
+    public boolean listsTask(String id) {
+        return tasks.values().stream().anyMatch(t -> t.id.equals(id));
+    }
+
+    /** The number of exited attempts that the worker lists. */
+    public long exitedAttemptCount() {
+        return tasks.values().stream().filter(t -> t.stage.equals("ended")).count();
+    }
+
     /** The address at which the worker with this name accepts direct commands. */
     public static Address address(String name) {
         return new Address("10.1.0." + name, 9000);
