--- a/src/main/java/org/spruceridge/cluster/StartCommands.java
+++ b/src/main/java/org/spruceridge/cluster/StartCommands.java
@@ -1,6 +1,5 @@
 package org.spruceridge.cluster;
 
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -72,10 +71,9 @@
         unresolvedDirectStarts.remove(attempt);
     }
 
-    /** Records the attempts that the response to the latest heartbeat starts. */
-    public void recordResponse(Collection<Long> startedAttempts) {
-        startsInResponse.clear();
-        startsInResponse.addAll(startedAttempts);
+    /** Records that the response to the latest heartbeat starts this attempt. */
+    public void recordStartInResponse(long attempt) {
+        startsInResponse.add(attempt);
     }
 
     /**
--- a/src/main/java/org/spruceridge/leader/HeartbeatResponder.java
+++ b/src/main/java/org/spruceridge/leader/HeartbeatResponder.java
@@ -1,6 +1,8 @@
 package org.spruceridge.leader;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -16,18 +18,20 @@
 /** Builds the response to each worker heartbeat, and counts and logs its outcome. */
 final class HeartbeatResponder {
     private static final Logger LOG = LoggerFactory.getLogger(HeartbeatResponder.class);
+    private static final int MAX_CACHED_RESPONSES = 1_000;
 
     private final long term;
     private final LeaderMetrics metrics;
     private final HeartbeatHandler heartbeatHandler;
-    private final Response responseWithFirstToken;
+    /** The encoded response without commands for each fencing token. Most heartbeats get such a response. */
+    private final Map<Long, Response> responsesWithoutCommands = new HashMap<>();
+
     private boolean duringFailover = true;
 
     HeartbeatResponder(LeaderContext context, HeartbeatHandler heartbeatHandler) {
         this.term = context.term().term();
         this.metrics = context.metrics();
         this.heartbeatHandler = heartbeatHandler;
-        this.responseWithFirstToken = WorkerCommand.heartbeatResponse(term, List.of());
     }
 
     /** Called when the cluster state is complete. Later heartbeats are reconciled with it. */
@@ -67,11 +71,19 @@
                     outcome,
                     stopCount);
         }
-        return commands.isEmpty() && reply.fencingToken() == term
-                ? responseWithFirstToken
+        return commands.isEmpty()
+                ? responseWithoutCommands(reply.fencingToken())
                 : WorkerCommand.heartbeatResponse(reply.fencingToken(), commands);
     }
 
+    private Response responseWithoutCommands(long fencingToken) {
+        if (responsesWithoutCommands.size() >= MAX_CACHED_RESPONSES) {
+            responsesWithoutCommands.clear();
+        }
+        return responsesWithoutCommands.computeIfAbsent(
+                fencingToken, token -> WorkerCommand.heartbeatResponse(token, List.of()));
+    }
+
     private HeartbeatOutcome outcome(long stopCount) {
         if (duringFailover) {
             return HeartbeatOutcome.ANSWERED_DURING_FAILOVER;
--- a/src/main/java/org/spruceridge/reconciliation/FencingTokenRaiser.java
+++ b/src/main/java/org/spruceridge/reconciliation/FencingTokenRaiser.java
@@ -36,8 +36,8 @@
 
     /** Raises the token if it is time to. {@code unboundStatuses} are those of the heartbeat that match no binding. */
     void raiseIfDue(Machine machine, WorkerHeartbeat heartbeat, List<TaskStatus> unboundStatuses) {
-        if (heartbeat.fencingToken() != fencingTokens.current(machine)) {
-            return; // the worker has not accepted the previous raise yet
+        if (unboundStatuses.isEmpty() || heartbeat.fencingToken() != fencingTokens.current(machine)) {
+            return; // nothing to forget, or the worker has not accepted the previous raise yet
         }
         long repeatableCount = unboundStatuses.stream()
                 .filter(TaskStatus::hasExited)
--- a/src/main/java/org/spruceridge/reconciliation/HeartbeatHandler.java
+++ b/src/main/java/org/spruceridge/reconciliation/HeartbeatHandler.java
@@ -72,11 +72,11 @@
      * even if the result of a direct command shows that it has not executed them yet.
      */
     private static void recordStarts(Machine machine, List<WorkerCommand> commands) {
-        machine.startCommands()
-                .recordResponse(commands.stream()
-                        .filter(command -> command.verb() == WorkerCommand.Verb.START)
-                        .map(WorkerCommand::attempt)
-                        .toList());
+        for (WorkerCommand command : commands) {
+            if (command.verb() == WorkerCommand.Verb.START) {
+                machine.startCommands().recordStartInResponse(command.attempt());
+            }
+        }
     }
 
     /**
