Fencing state of a worker, failover logging and fleet fixtures get their own classes

Cause: WorkerLease had two jobs, the lease and the fencing token; Leader also wrote the log lines of the failover; three tests repeated the settings, the context and the state client of a fleet.

Change: cluster.WorkerFencing, leader.FailoverLogger, and fleet methods in sim.Fixtures. No change of behaviour; the log lines of the failover are the same, their logger is FailoverLogger.

Measured: all tests pass.

--- a/src/main/java/org/spruceridge/autoscaling/FailureDetector.java
+++ b/src/main/java/org/spruceridge/autoscaling/FailureDetector.java
@@ -172,7 +172,7 @@
         double leaseS = settings.workers().leaseS();
         double unresponsiveForS = unresponsiveDurationS(machine, now);
         // A worker whose heartbeats do not yet contain this term's fencing token might still be locating this leader.
-        boolean isTimedOut = unresponsiveForS > (machine.lease().isFenced() ? deadTimeoutS() : leaseS);
+        boolean isTimedOut = unresponsiveForS > (machine.fencing().isFenced() ? deadTimeoutS() : leaseS);
         return isTimedOut && (isZoneResponsive(zone, now) || unresponsiveForS > PARTITIONED_ZONE_LEASES * leaseS);
     }
 
--- a/src/main/java/org/spruceridge/cluster/Machine.java
+++ b/src/main/java/org/spruceridge/cluster/Machine.java
@@ -4,8 +4,8 @@
 
 /**
  * The state of a machine in the memory of this term's leader. Separate objects hold the heartbeat version, the worker
- * lease, signs of failure, start commands, the reclaim notice, and the bindings with the used capacity. All times are
- * nanoseconds on the monotonic clock.
+ * lease, the fencing token, signs of failure, start commands, the reclaim notice, and the bindings with the used
+ * capacity. All times are nanoseconds on the monotonic clock.
  */
 public final class Machine {
     private final String name;
@@ -13,6 +13,7 @@
     private final long knownSince;
     private final HeartbeatVersion heartbeatVersion = new HeartbeatVersion();
     private final WorkerLease lease;
+    private final WorkerFencing fencing = new WorkerFencing();
     private final FailureSuspicion suspicion = new FailureSuspicion();
     private final StartCommands startCommands = new StartCommands();
     private final SpotReclaim reclaim = new SpotReclaim();
@@ -77,6 +78,11 @@
         return lease;
     }
 
+    /** The fencing token of the machine's worker. */
+    public WorkerFencing fencing() {
+        return fencing;
+    }
+
     /** Signs that the machine is faulty. */
     public FailureSuspicion suspicion() {
         return suspicion;
@@ -184,7 +190,7 @@
     /** Records that the lease of the current incarnation expired. Late heartbeats of the incarnation are ignored. */
     public void endIncarnation() {
         heartbeatVersion.endIncarnation();
-        lease.endIncarnation();
+        fencing.endIncarnation();
         startCommands.clear();
     }
 
--- a/src/main/java/org/spruceridge/dispatch/CommandSender.java
+++ b/src/main/java/org/spruceridge/dispatch/CommandSender.java
@@ -79,7 +79,7 @@
 
     /** Sends the commands that are due on a machine. Defers them while a request to the machine is in flight. */
     public void sendDueCommands(Machine machine) {
-        if (!machine.lease().isFenced() || machine.address().isEmpty() || !isLeader.getAsBoolean()) {
+        if (!machine.fencing().isFenced() || machine.address().isEmpty() || !isLeader.getAsBoolean()) {
             return; // heartbeat responses carry the commands instead
         }
         if (machinesAwaitingResponse.contains(machine)) {
--- a/src/main/java/org/spruceridge/leader/Leader.java
+++ b/src/main/java/org/spruceridge/leader/Leader.java
@@ -6,8 +6,6 @@
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 import org.spruceridge.autoscaling.Autoscaler;
 import org.spruceridge.cloud.CloudClient;
 import org.spruceridge.cluster.Cluster;
@@ -43,9 +41,6 @@
  * them at the end of the term.
  */
 public final class Leader {
-    private static final Logger LOG = LoggerFactory.getLogger(Leader.class);
-    private static final long NANOS_PER_MILLI = 1_000_000;
-
     /**
      * The maximum time between two scheduling cycles, in heartbeat intervals. Cycles are needed even without new
      * events, because scores change and machines become suspect as time passes.
@@ -65,6 +60,7 @@
     private final CommandSender commandSender;
     private final JobWatcher jobWatcher;
     private final Failover failover;
+    private final FailoverLogger failoverLogger;
     private final FeatureLevelUpgrader featureLevelUpgrader;
     private final Autoscaler autoscaler;
     private boolean failoverComplete;
@@ -97,7 +93,7 @@
     private final class FailoverListener implements Failover.Listener {
         @Override
         public void stepCompleted(FailoverStep step) {
-            logStep(step);
+            failoverLogger.stepCompleted(step);
         }
 
         @Override
@@ -144,6 +140,7 @@
         this.jobWatcher =
                 new JobWatcher(context, state, recordWriter, commandSender::sendDueCommands, schedulingLoop::request);
         this.failover = new Failover(context, state, recordWriter.records());
+        this.failoverLogger = new FailoverLogger(term.term());
         this.featureLevelUpgrader = new FeatureLevelUpgrader(
                 scope,
                 state,
@@ -171,12 +168,7 @@
         failoverComplete = true;
         heartbeatResponder.failoverCompleted();
         context.metrics().failoverCompleted(termAgeNanos());
-        LOG.info(
-                "failover completed term={} jobs={} machines={} durationMs={}",
-                term.term(),
-                cluster.jobs().size(),
-                cluster.machines().size(),
-                termAgeNanos() / NANOS_PER_MILLI);
+        failoverLogger.completed(cluster, termAgeNanos());
         recordWriter.failoverCompleted();
         jobWatcher.watchFrom(revision);
         autoscaler.start();
@@ -185,26 +177,6 @@
         requestCyclePeriodically();
     }
 
-    private void logStep(FailoverStep step) {
-        long durationMs = step.durationNanos() / NANOS_PER_MILLI;
-        if (step instanceof FailoverStep.ListingRead listing) {
-            LOG.info(
-                    "failover listing read term={} path={} count={} bytes={} durationMs={}",
-                    term.term(),
-                    listing.prefix(),
-                    listing.entryCount(),
-                    listing.bytes(),
-                    durationMs);
-        } else if (step instanceof FailoverStep.CancelledJobsRead cancelled) {
-            LOG.info(
-                    "failover cancelled jobs read term={} count={} ageS={} durationMs={}",
-                    term.term(),
-                    cancelled.jobCount(),
-                    cancelled.oldestAgeS(),
-                    durationMs);
-        }
-    }
-
     /** Stops all components. */
     public void stop() {
         jobWatcher.stop();
--- a/src/main/java/org/spruceridge/reconciliation/FencingTokenRaiser.java
+++ b/src/main/java/org/spruceridge/reconciliation/FencingTokenRaiser.java
@@ -48,7 +48,7 @@
         }
         long now = loop.nanos();
         if (repeatableCount >= MAX_REPEATABLE_EXITED_ATTEMPTS
-                || machine.lease().isFencingTokenOlderThan(raiseIntervalNanos, now)) {
+                || !machine.fencing().wasRaisedWithin(raiseIntervalNanos, now)) {
             fencingTokens.raise(machine, now);
         }
     }
--- a/src/main/java/org/spruceridge/reconciliation/HeartbeatAdmission.java
+++ b/src/main/java/org/spruceridge/reconciliation/HeartbeatAdmission.java
@@ -51,7 +51,7 @@
      * this term.
      */
     boolean makesMachineAvailable(Machine machine, WorkerHeartbeat heartbeat) {
-        return !machine.lease().isFenced() || machine.heartbeatVersion().isNewIncarnation(heartbeat.incarnation());
+        return !machine.fencing().isFenced() || machine.heartbeatVersion().isNewIncarnation(heartbeat.incarnation());
     }
 
     /**
@@ -64,7 +64,7 @@
             case COMMAND_RESPONSE -> machine.recordStatus(incarnation, heartbeat.sequence(), heartbeat.address(), now);
             default -> throw new IllegalStateException("no such origin: " + origin);
         }
-        machine.lease().fence();
+        machine.fencing().fence();
         machine.startCommands().recordAcceptedFencingToken(heartbeat.fencingToken());
         if (heartbeat.reclaimNoticeS().isPresent()) {
             long noticeNanos = Durations.nanos(heartbeat.reclaimNoticeS().getAsDouble());
--- a/src/main/java/org/spruceridge/reconciliation/LeaseRenewals.java
+++ b/src/main/java/org/spruceridge/reconciliation/LeaseRenewals.java
@@ -33,7 +33,9 @@
     void record(WorkerHeartbeat heartbeat) {
         Machine machine = cluster.machine(heartbeat.machine());
         if (machine != null) {
-            machine.lease().recordRenewal(loop.nanos(), fencingTokens.contains(heartbeat.fencingToken()));
+            long now = loop.nanos();
+            machine.lease().recordRenewal(now);
+            machine.fencing().recordResponse(now, fencingTokens.contains(heartbeat.fencingToken()));
         }
     }
 
@@ -67,7 +69,7 @@
         // Fencing is overdue only after a whole lease, because responses can reach healthy workers too late shortly
         // after a failover.
         boolean isFencingOverdue = !fencingTokens.contains(heartbeat.fencingToken())
-                && machine.lease().isFencingOverdue(loop.nanos(), workerLeaseNanos);
+                && machine.fencing().isOverdue(loop.nanos(), workerLeaseNanos);
         return isFencingOverdue || (machine.isTerminating() && machine.awaitsAcknowledgement());
     }
 }
--- a/src/main/java/org/spruceridge/schedule/CycleState.java
+++ b/src/main/java/org/spruceridge/schedule/CycleState.java
@@ -61,7 +61,7 @@
 
     private boolean isSchedulable(Machine machine) {
         double heartbeatAgeS = Durations.secondsSince(machine.lease().lastHeartbeat(), now);
-        return machine.lease().isFenced()
+        return machine.fencing().isFenced()
                 && !machine.isTerminating()
                 && !machine.isUnschedulable()
                 && heartbeatAgeS
--- a/src/main/java/org/spruceridge/term/FencingTokens.java
+++ b/src/main/java/org/spruceridge/term/FencingTokens.java
@@ -50,7 +50,7 @@
 
     /** The token of all commands and responses that are sent to this machine's worker from now on. */
     public long current(Machine machine) {
-        return Math.max(term.term(), machine.lease().raisedFencingToken());
+        return Math.max(term.term(), machine.fencing().raisedToken());
     }
 
     /** True if this token belongs to this term. A worker that has seen it rejects earlier leaders. */
@@ -74,7 +74,7 @@
             return;
         }
         LOG.debug("fencing token raised term={} machine={} fencingToken={}", term.term(), machine.name(), next);
-        machine.lease().raiseFencingToken(next, now);
+        machine.fencing().raise(next, now);
     }
 
     private void reserve() {
--- a/src/test/java/org/spruceridge/autoscaling/FailureDetectorTest.java
+++ b/src/test/java/org/spruceridge/autoscaling/FailureDetectorTest.java
@@ -38,7 +38,7 @@
         for (int i = 0; i < MACHINES; i++) {
             Machine machine = new Machine("i-" + i, "", new MachineKind("t", "a", true), loop.nanos(), loop.nanos());
             machine.recordHeartbeat(1, ++sequence, "", loop.nanos());
-            machine.lease().fence();
+            machine.fencing().fence();
             cluster.add(machine);
             machines.add(machine);
         }
--- a/src/test/java/org/spruceridge/dispatch/FleetSizeTest.java
+++ b/src/test/java/org/spruceridge/dispatch/FleetSizeTest.java
@@ -21,16 +21,10 @@
 import org.spruceridge.cluster.MachineKind;
 import org.spruceridge.cluster.MachineType;
 import org.spruceridge.cluster.Resources;
-import org.spruceridge.config.Address;
 import org.spruceridge.config.Policy;
 import org.spruceridge.config.Settings;
 import org.spruceridge.failover.Failover;
-import org.spruceridge.net.Durations;
-import org.spruceridge.net.HttpClient;
 import org.spruceridge.net.Json;
-import org.spruceridge.net.Latencies;
-import org.spruceridge.net.RateLimitedWarnings;
-import org.spruceridge.net.RateLimiter;
 import org.spruceridge.persistence.RecordWriter;
 import org.spruceridge.reconciliation.HeartbeatHandler;
 import org.spruceridge.record.BindingsRecord;
@@ -43,8 +37,6 @@
 import org.spruceridge.state.StateClient;
 import org.spruceridge.term.FencingTokens;
 import org.spruceridge.term.LeaderContext;
-import org.spruceridge.term.LeaderMetrics;
-import org.spruceridge.term.LeaderServices;
 import org.spruceridge.term.LeaderTerm;
 import org.spruceridge.worker.WorkerHeartbeat;
 import org.spruceridge.worker.WorkerHeartbeat.ExitCause;
@@ -61,10 +53,6 @@
     private static final int JOBS = 200;
     private static final int TASKS_PER_JOB = 200;
     private static final int TASKS = JOBS * TASKS_PER_JOB;
-    private static final Address LOCAL_ADDRESS = new Address("10.0.0.1", 1);
-    private static final int TRANSACTION_OPERATIONS = 4;
-    private static final double VALUE_KB = 2;
-    private static final double WRITES_PER_S = 90;
     /** Half of the 64 MB heap of a deployed node. A leader needs the other half for requests in progress. */
     private static final long MAX_HEAP_BYTES = 32L << 20;
     /**
@@ -73,15 +61,10 @@
      */
     private static final long MAX_CYCLE_ALLOCATION_BYTES = 4L << 20;
 
-    private static final Settings SETTINGS = Fixtures.settings(
-            ImmutableMap.of("red", new Settings.Team("red", 0, 0, 0, 0)),
-            new Settings.Workers(5, 22, 42),
-            new Settings.State(200, 100, VALUE_KB, TRANSACTION_OPERATIONS),
-            new Settings.Cloud(8, 5),
-            new Settings.Resources(1, 414, 3203));
+    private static final Settings SETTINGS = Fixtures.fleetSettings();
 
     private final SimLoop loop = new SimLoop();
-    private final SimStateService state = new SimStateService(loop, TRANSACTION_OPERATIONS, 1000);
+    private final SimStateService state = new SimStateService(loop, Fixtures.FLEET_TRANSACTION_OPERATIONS, 1000);
     private final Matching matching = new Matching(
             SETTINGS,
             Policy.defaults(),
@@ -101,25 +84,12 @@
         private final SchedulingLoop schedulingLoop;
 
         LeaderComponents(long term) {
-            context = LeaderContext.forNewTerm(
-                    new LeaderServices(loop, new RateLimitedWarnings(loop), new Latencies(loop), new LeaderMetrics()),
-                    SETTINGS,
-                    Policy.defaults(),
-                    new LeaderTerm(term, leaderRevision, loop.nanos()),
-                    () -> true);
+            context = Fixtures.fleetLeaderContext(loop, new LeaderTerm(term, leaderRevision, loop.nanos()));
             cluster = context.cluster();
             cluster.updateMachineTypes(ImmutableMap.of(
                     "t4",
                     new MachineType("t4", new Resources(4, 0, 16), 1, 0.2, 0.06, 20, ImmutableList.of("a", "b"))));
-            HttpClient http = (to, call, timeout, onResponse) ->
-                    loop.after(Durations.millis(5), () -> state.accept(call, onResponse));
-            client = new StateClient(
-                    loop,
-                    http,
-                    LOCAL_ADDRESS,
-                    new RateLimiter(loop, 190, WRITES_PER_S, 1),
-                    context.warnings(),
-                    context.latencies());
+            client = Fixtures.fleetStateClient(context, Fixtures.directClient(loop, state));
             recordWriter = new RecordWriter(context, client, new Listener());
             heartbeatHandler = new HeartbeatHandler(
                     context, new FencingTokens(context, client), recordWriter, machine -> requestCycle());
@@ -186,7 +156,7 @@
                     loop.nanos(),
                     loop.nanos());
             machine.recordHeartbeat(1, 1, "", loop.nanos());
-            machine.lease().fence();
+            machine.fencing().fence();
             leader.cluster.add(machine);
         }
     }
@@ -231,7 +201,7 @@
 
     @Test
     void leaderServesFourThousandMachinesWithinLimits() {
-        state.lowerLimits(VALUE_KB, TRANSACTION_OPERATIONS, 100);
+        state.lowerLimits(Fixtures.FLEET_VALUE_KB, Fixtures.FLEET_TRANSACTION_OPERATIONS, 100);
         leaderRevision = state.put(StateKeys.LEADER, Json.object());
         LeaderComponents firstLeader = leaderWithAllTasksBound();
         assertBurstOfExitsIsRecorded(firstLeader);
--- a/src/test/java/org/spruceridge/reconciliation/ForgottenAttemptsTest.java
+++ b/src/test/java/org/spruceridge/reconciliation/ForgottenAttemptsTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
@@ -17,15 +16,8 @@
 import org.spruceridge.cluster.Machine;
 import org.spruceridge.cluster.MachineKind;
 import org.spruceridge.cluster.TaskId;
-import org.spruceridge.config.Address;
-import org.spruceridge.config.Policy;
-import org.spruceridge.config.Settings;
 import org.spruceridge.net.Durations;
-import org.spruceridge.net.HttpClient;
 import org.spruceridge.net.Json;
-import org.spruceridge.net.Latencies;
-import org.spruceridge.net.RateLimitedWarnings;
-import org.spruceridge.net.RateLimiter;
 import org.spruceridge.persistence.RecordWriter;
 import org.spruceridge.record.StateKeys;
 import org.spruceridge.record.TermRecord;
@@ -35,8 +27,6 @@
 import org.spruceridge.state.StateClient;
 import org.spruceridge.term.FencingTokens;
 import org.spruceridge.term.LeaderContext;
-import org.spruceridge.term.LeaderMetrics;
-import org.spruceridge.term.LeaderServices;
 import org.spruceridge.term.LeaderTerm;
 import org.spruceridge.worker.WorkerCommand;
 import org.spruceridge.worker.WorkerHeartbeat;
@@ -55,15 +45,9 @@
     private static final int LEASE_S = 22;
     private static final long HALF_LEASE_NANOS = Durations.nanos(LEASE_S / 2.0);
     private static final MachineKind KIND = new MachineKind("t8", "a", false);
-    private static final Settings SETTINGS = Fixtures.settings(
-            ImmutableMap.of("red", new Settings.Team("red", 0, 0, 0, 0)),
-            new Settings.Workers(HEARTBEAT_INTERVAL_S, LEASE_S, 42),
-            new Settings.State(200, 100, 2, 4),
-            new Settings.Cloud(8, 5),
-            new Settings.Resources(1, 414, 3203));
 
     private final SimLoop loop = new SimLoop();
-    private final SimStateService state = new SimStateService(loop, 4, 1000);
+    private final SimStateService state = new SimStateService(loop, Fixtures.FLEET_TRANSACTION_OPERATIONS, 1000);
     private final List<Worker> workers = new ArrayList<>();
     private LeaderContext context;
     private FencingTokens fencingTokens;
@@ -141,19 +125,8 @@
     void startTerm() {
         long leaderRevision = state.put(StateKeys.LEADER, Json.object());
         state.put(StateKeys.TERM, new TermRecord(1).write());
-        LeaderServices services =
-                new LeaderServices(loop, new RateLimitedWarnings(loop), new Latencies(loop), new LeaderMetrics());
-        LeaderTerm term = new LeaderTerm(1, leaderRevision, loop.nanos());
-        context = LeaderContext.forNewTerm(services, SETTINGS, Policy.defaults(), term, () -> true);
-        HttpClient http = (to, call, timeout, onResponse) ->
-                loop.after(Durations.millis(5), () -> state.accept(call, onResponse));
-        StateClient client = new StateClient(
-                loop,
-                http,
-                new Address("10.0.0.1", 1),
-                new RateLimiter(loop, 190, 90, 1),
-                context.warnings(),
-                context.latencies());
+        context = Fixtures.fleetLeaderContext(loop, new LeaderTerm(1, leaderRevision, loop.nanos()));
+        StateClient client = Fixtures.fleetStateClient(context, Fixtures.directClient(loop, state));
         fencingTokens = new FencingTokens(context, client);
         RecordWriter recordWriter = new RecordWriter(context, client, new NoWritesExpected());
         heartbeatHandler = new HeartbeatHandler(context, fencingTokens, recordWriter, machine -> {});
--- a/src/test/java/org/spruceridge/schedule/MatchingFixture.java
+++ b/src/test/java/org/spruceridge/schedule/MatchingFixture.java
@@ -49,7 +49,7 @@
     Machine addMachine(String name, String zone, boolean spot) {
         Machine machine = new Machine(name, "", new MachineKind("t8", zone, spot), NOW, NOW);
         machine.recordHeartbeat(1, 1, "", NOW);
-        machine.lease().fence();
+        machine.fencing().fence();
         cluster.add(machine);
         return machine;
     }
--- a/src/test/java/org/spruceridge/schedule/MatchingReferenceTest.java
+++ b/src/test/java/org/spruceridge/schedule/MatchingReferenceTest.java
@@ -83,7 +83,7 @@
             String zone = random.nextBoolean() ? "a" : "b";
             Machine machine = new Machine("m" + i, "", new MachineKind(type, zone, random.nextBoolean()), NOW, NOW);
             machine.recordHeartbeat(1, 1, "", NOW);
-            machine.lease().fence();
+            machine.fencing().fence();
             cluster.add(machine);
             machines.add(machine);
             int runningTasks = random.nextInt(4);
--- a/src/test/java/org/spruceridge/schedule/SchedulingCostTest.java
+++ b/src/test/java/org/spruceridge/schedule/SchedulingCostTest.java
@@ -62,7 +62,7 @@
             Machine machine =
                     new Machine("i-" + i, "", new MachineKind("t4", i % 2 == 0 ? "a" : "b", i % 3 == 0), NOW, NOW);
             machine.recordHeartbeat(1, 1, "", NOW);
-            machine.lease().fence();
+            machine.fencing().fence();
             cluster.add(machine);
             Job running = i % 2 == 0 ? small : large;
             while (running.spec().taskResources().fitsIn(cluster.freeCapacity(machine))) {
--- a/src/test/java/org/spruceridge/term/FencingTokensTest.java
+++ b/src/test/java/org/spruceridge/term/FencingTokensTest.java
@@ -4,43 +4,28 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.google.common.collect.ImmutableMap;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Predicate;
 import org.junit.jupiter.api.Test;
 import org.spruceridge.cluster.Machine;
 import org.spruceridge.cluster.MachineKind;
-import org.spruceridge.config.Address;
-import org.spruceridge.config.Policy;
-import org.spruceridge.config.Settings;
 import org.spruceridge.net.Durations;
 import org.spruceridge.net.HttpAnswer;
 import org.spruceridge.net.HttpCall;
 import org.spruceridge.net.HttpClient;
 import org.spruceridge.net.Json;
-import org.spruceridge.net.Latencies;
-import org.spruceridge.net.RateLimitedWarnings;
-import org.spruceridge.net.RateLimiter;
 import org.spruceridge.record.StateKeys;
 import org.spruceridge.record.TermRecord;
 import org.spruceridge.sim.Fixtures;
 import org.spruceridge.sim.SimLoop;
 import org.spruceridge.sim.SimStateService;
-import org.spruceridge.state.StateClient;
 
 /** Tests that a leader uses only fencing tokens that no other leader can use. */
 final class FencingTokensTest {
     private static final long TERM = 7;
-    private static final Settings SETTINGS = Fixtures.settings(
-            ImmutableMap.of("red", new Settings.Team("red", 0, 0, 0, 0)),
-            new Settings.Workers(5, 22, 42),
-            new Settings.State(200, 100, 2, 4),
-            new Settings.Cloud(8, 5),
-            new Settings.Resources(1, 414, 3203));
-
     private final SimLoop loop = new SimLoop();
-    private final SimStateService state = new SimStateService(loop, 4, 1000);
+    private final SimStateService state = new SimStateService(loop, Fixtures.FLEET_TRANSACTION_OPERATIONS, 1000);
     private final long leaderRevision = state.put(StateKeys.LEADER, Json.object());
     private Predicate<HttpCall> responseLost = call -> false;
     private Predicate<HttpCall> heldUp = call -> false;
@@ -51,10 +36,7 @@
 
     private FencingTokens tokens() {
         state.put(StateKeys.TERM, new TermRecord(TERM).write());
-        LeaderServices services =
-                new LeaderServices(loop, new RateLimitedWarnings(loop), new Latencies(loop), new LeaderMetrics());
-        LeaderTerm term = new LeaderTerm(TERM, leaderRevision, loop.nanos());
-        LeaderContext context = LeaderContext.forNewTerm(services, SETTINGS, Policy.defaults(), term, () -> true);
+        LeaderContext context = Fixtures.fleetLeaderContext(loop, new LeaderTerm(TERM, leaderRevision, loop.nanos()));
         HttpClient http = (to, call, timeout, onResponse) -> {
             boolean isAnswered = !responseLost.test(call) && !heldUp.test(call);
             if (!isAnswered) {
@@ -72,10 +54,7 @@
             }
             return () -> {};
         };
-        RateLimiter limiter = new RateLimiter(loop, 190, 90, 1);
-        Address address = new Address("10.0.0.1", 1);
-        return new FencingTokens(
-                context, new StateClient(loop, http, address, limiter, context.warnings(), context.latencies()));
+        return new FencingTokens(context, Fixtures.fleetStateClient(context, http));
     }
 
     private long storedTerm() {
