Attempt numbers follow the number of the election, not the reserved fencing tokens

Cause: reserved tokens raise the stored term, and an attempt number had the term in its upper bits. Above term 255 an attempt takes 9 bytes instead of 5 in the records of bindings, so records would have grown over a long term.

Change: TermRecord also counts elections.

--- a/src/main/java/org/spruceridge/autoscaling/FailureDetector.java
+++ b/src/main/java/org/spruceridge/autoscaling/FailureDetector.java
@@ -171,7 +171,8 @@
     private boolean isDead(Machine machine, ZoneStatus zone, long now) {
         double leaseS = settings.workers().leaseS();
         double unresponsiveForS = unresponsiveDurationS(machine, now);
-        // A worker whose heartbeats do not yet contain this term's fencing token might still be locating this leader.
+        // A worker whose heartbeats do not yet contain a fencing token of this term might still be locating this
+        // leader.
         boolean isTimedOut = unresponsiveForS > (machine.fencing().isFenced() ? deadTimeoutS() : leaseS);
         return isTimedOut && (isZoneResponsive(zone, now) || unresponsiveForS > PARTITIONED_ZONE_LEASES * leaseS);
     }
--- a/src/main/java/org/spruceridge/dispatch/AttemptNumbers.java
+++ b/src/main/java/org/spruceridge/dispatch/AttemptNumbers.java
@@ -1,8 +1,8 @@
 package org.spruceridge.dispatch;
 
 /**
- * Allocates the attempt numbers of a term. An attempt number has the term in its upper bits and a counter in its lower
- * bits. Therefore attempt numbers increase across terms, although the counter is not stored.
+ * Allocates the attempt numbers of a term. An attempt number has the number of the election in its upper bits and a
+ * counter in its lower bits. Therefore attempt numbers increase across terms, although the counter is not stored.
  */
 final class AttemptNumbers {
     private static final int COUNTER_BITS = 24;
@@ -10,11 +10,11 @@
     /** The number of attempt numbers available in a term. The leader resigns before they run out. */
     static final long MAX_PER_TERM = (1L << COUNTER_BITS) - 1;
 
-    private final long term;
+    private final long election;
     private long usedCount;
 
-    AttemptNumbers(long term) {
-        this.term = term;
+    AttemptNumbers(long election) {
+        this.election = election;
     }
 
     boolean hasRemaining(int count) {
@@ -23,7 +23,7 @@
 
     long next() {
         usedCount++;
-        return (term << COUNTER_BITS) + usedCount;
+        return (election << COUNTER_BITS) + usedCount;
     }
 
     /** Records that the term has already used {@code count} attempt numbers. */
--- a/src/main/java/org/spruceridge/dispatch/SchedulingLoop.java
+++ b/src/main/java/org/spruceridge/dispatch/SchedulingLoop.java
@@ -61,7 +61,7 @@
         this.cluster = context.cluster();
         this.matching = matching;
         this.latencies = context.latencies();
-        this.attemptNumbers = new AttemptNumbers(context.term().term());
+        this.attemptNumbers = new AttemptNumbers(context.term().election());
         this.executor = new PlanExecutor(cluster, recordWriter, attemptNumbers, onCommandsDue);
         this.resign = resign;
         this.minCycleSpacingNanos =
--- a/src/main/java/org/spruceridge/election/Campaign.java
+++ b/src/main/java/org/spruceridge/election/Campaign.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.LongFunction;
 import org.spruceridge.net.CancellationScope;
 import org.spruceridge.net.Durations;
 import org.spruceridge.net.RateLimiter.Priority;
@@ -26,9 +27,15 @@
     /**
      * The result of a successful campaign.
      *
+     * @param election the number of the election
      * @param leaderRevision the modRevision of the leader key that the campaign wrote
      */
-    record Win(LeaderRecord record, long leaderRevision, LeaderLease lease, StoredFeatureLevel featureLevel) {}
+    record Win(
+            LeaderRecord record,
+            long election,
+            long leaderRevision,
+            LeaderLease lease,
+            StoredFeatureLevel featureLevel) {}
 
     private final ElectionContext context;
     private final CancellationScope scope;
@@ -87,24 +94,23 @@
             long termRevision = termResult.isOk() ? termResult.value().modRevision() : 0;
             TermRecord term = termResult.isOk()
                     ? TermRecord.read(termResult.value().value()).next()
-                    : new TermRecord(1);
+                    : TermRecord.FIRST;
             LeaderRecord record = candidate.leaderRecord(term.term());
             Transaction transaction = Transaction.builder()
                     .compare(StateKeys.FEATURE_LEVEL, level.modRevision())
                     .putWithLease(StateKeys.LEADER, expectedLeaderRevision, record.write(), lease.id())
                     .put(StateKeys.TERM, termRevision, term.write())
                     .build();
-            compareAndSwap(transaction, record, lease, level);
+            compareAndSwap(transaction, lease, revision -> new Win(record, term.election(), revision, lease, level));
         }));
     }
 
-    private void compareAndSwap(
-            Transaction transaction, LeaderRecord record, LeaderLease lease, StoredFeatureLevel level) {
+    private void compareAndSwap(Transaction transaction, LeaderLease lease, LongFunction<Win> winAtRevision) {
         state.commit(transaction, Priority.LEASE_RENEWAL, scope.guard(result -> {
             if (result.outcome() == TransactionResult.Outcome.COMMITTED) {
-                onComplete.accept(Optional.of(new Win(record, result.revision(), lease, level)));
+                onComplete.accept(Optional.of(winAtRevision.apply(result.revision())));
             } else if (result.outcome() == TransactionResult.Outcome.UNKNOWN && lease.isValid()) {
-                scope.after(RETRY_DELAY_NANOS, () -> compareAndSwap(transaction, record, lease, level));
+                scope.after(RETRY_DELAY_NANOS, () -> compareAndSwap(transaction, lease, winAtRevision));
             } else {
                 abandon(lease); // if the transaction was executed after all, the leader key will show it
             }
--- a/src/main/java/org/spruceridge/election/Election.java
+++ b/src/main/java/org/spruceridge/election/Election.java
@@ -190,7 +190,8 @@
     }
 
     private void acquireLeadership(Campaign.Win win) {
-        LeaderTerm term = new LeaderTerm(win.record().term(), win.leaderRevision(), loop.nanos(), win.featureLevel());
+        LeaderTerm term = new LeaderTerm(
+                win.record().term(), win.election(), win.leaderRevision(), loop.nanos(), win.featureLevel());
         Leadership acquired = new Leadership(term, win.lease());
         knownLeader = Optional.of(win.record());
         leadership = Optional.of(acquired);
--- a/src/main/java/org/spruceridge/reconciliation/LeaseRenewals.java
+++ b/src/main/java/org/spruceridge/reconciliation/LeaseRenewals.java
@@ -29,7 +29,7 @@
         this.workerLeaseNanos = Durations.nanos(context.settings().workers().leaseS());
     }
 
-    /** Records the response to a heartbeat. The response delivers this term's fencing token to the worker. */
+    /** Records the response to a heartbeat. The response delivers a fencing token of this term to the worker. */
     void record(WorkerHeartbeat heartbeat) {
         Machine machine = cluster.machine(heartbeat.machine());
         if (machine != null) {
--- a/src/main/java/org/spruceridge/term/FencingTokens.java
+++ b/src/main/java/org/spruceridge/term/FencingTokens.java
@@ -24,7 +24,7 @@
 public final class FencingTokens {
     private static final Logger LOG = LoggerFactory.getLogger(FencingTokens.class);
 
-    /** The number of tokens of one reservation. A small number keeps attempt numbers short. */
+    /** The number of tokens of one reservation. */
     static final int RESERVATION_SIZE = 64;
 
     private static final long RETRY_DELAY_NANOS = Durations.millis(500);
@@ -92,7 +92,7 @@
     }
 
     private void commitReservation(Entry storedTerm) {
-        TermRecord reserved = TermRecord.read(storedTerm.value()).plus(RESERVATION_SIZE);
+        TermRecord reserved = TermRecord.read(storedTerm.value()).withReservedTokens(RESERVATION_SIZE);
         Transaction transaction = Transaction.builder()
                 .compare(StateKeys.LEADER, term.leaderRevision())
                 .put(StateKeys.TERM, storedTerm.modRevision(), reserved.write())
--- a/src/test/java/org/spruceridge/reconciliation/ForgottenAttemptsTest.java
+++ b/src/test/java/org/spruceridge/reconciliation/ForgottenAttemptsTest.java
@@ -124,7 +124,7 @@
     @BeforeEach
     void startTerm() {
         long leaderRevision = state.put(StateKeys.LEADER, Json.object());
-        state.put(StateKeys.TERM, new TermRecord(1).write());
+        state.put(StateKeys.TERM, TermRecord.FIRST.write());
         context = Fixtures.fleetLeaderContext(loop, new LeaderTerm(1, leaderRevision, loop.nanos()));
         StateClient client = Fixtures.fleetStateClient(context, Fixtures.directClient(loop, state));
         fencingTokens = new FencingTokens(context, client);
--- a/src/test/java/org/spruceridge/term/FencingTokensTest.java
+++ b/src/test/java/org/spruceridge/term/FencingTokensTest.java
@@ -35,7 +35,7 @@
             new Machine("i-000001", "", new MachineKind("t8", "a", true), loop.nanos(), loop.nanos());
 
     private FencingTokens tokens() {
-        state.put(StateKeys.TERM, new TermRecord(TERM).write());
+        state.put(StateKeys.TERM, new TermRecord(TERM, TERM).write());
         LeaderContext context = Fixtures.fleetLeaderContext(loop, new LeaderTerm(TERM, leaderRevision, loop.nanos()));
         HttpClient http = (to, call, timeout, onResponse) -> {
             boolean isAnswered = !responseLost.test(call) && !heldUp.test(call);
@@ -107,7 +107,7 @@
         heldUp = call -> call.target().equals("/txn");
         raiseFor(5);
         state.put(StateKeys.LEADER, Json.object());
-        state.put(StateKeys.TERM, new TermRecord(TERM + 1).write());
+        state.put(StateKeys.TERM, new TermRecord(TERM + 1, TERM + 1).write());
         heldUpCalls.forEach(Runnable::run);
         heldUp = call -> false;
         raiseFor(15); // this leader does not know yet that its term has ended
