--- a/src/test/java/org/spruceridge/sim/Fixtures.java
+++ b/src/test/java/org/spruceridge/sim/Fixtures.java
@@ -104,7 +104,7 @@
         return new StateClient(loop, http, NODE_ADDRESS, limiter, context.warnings(), context.latencies());
     }
 
-    /** A listener that calls {@code onCommit} after each commit, and fails if a write fails or a job is cancelled. */
+    /** A listener that calls {@code onCommit} after each commit, and fails the test if a write fails or a job is cancelled. */
     public static RecordWriter.Listener recordWriterListener(Runnable onCommit) {
         return new RecordWriter.Listener() {
             @Override
