--- a/src/test/java/org/spruceridge/dispatch/FleetSizeTest.java
+++ b/src/test/java/org/spruceridge/dispatch/FleetSizeTest.java
@@ -5,6 +5,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import com.sun.management.ThreadMXBean;
 import java.lang.management.ManagementFactory;
 import java.util.ArrayList;
@@ -89,7 +90,7 @@
                     "t4",
                     new MachineType("t4", new Resources(4, 0, 16), 1, 0.2, 0.06, 20, ImmutableList.of("a", "b"))));
             client = Fixtures.fleetStateClient(context, Fixtures.directClient(loop, state));
-            recordWriter = new RecordWriter(context, client, Fixtures.recordWriterListener(this::requestCycle));
+            recordWriter = new RecordWriter(context, client, new Listener());
             heartbeatHandler = new HeartbeatHandler(
                     context, new FencingTokens(context, client), recordWriter, machine -> requestCycle());
             schedulingLoop = new SchedulingLoop(context, recordWriter, matching, machine -> {}, reason -> {
@@ -101,6 +102,23 @@
             schedulingLoop.request();
         }
 
+        private final class Listener implements RecordWriter.Listener {
+            @Override
+            public void onCommitted(ImmutableSet<Machine> bound) {
+                requestCycle();
+            }
+
+            @Override
+            public void onJobCancelled(Job job) {
+                throw new AssertionError(job.id());
+            }
+
+            @Override
+            public void onWriteFailed(String reason) {
+                throw new AssertionError(reason);
+            }
+        }
+
         long countBindings(Predicate<Binding> predicate) {
             return cluster.machines().stream()
                     .flatMap(m -> m.bindings().stream())
--- a/src/test/java/org/spruceridge/reconciliation/ForgottenAttemptsTest.java
+++ b/src/test/java/org/spruceridge/reconciliation/ForgottenAttemptsTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -11,6 +12,7 @@
 import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.spruceridge.cluster.Job;
 import org.spruceridge.cluster.Machine;
 import org.spruceridge.cluster.MachineKind;
 import org.spruceridge.cluster.TaskId;
@@ -54,6 +56,21 @@
     private int maxListedAttempts;
     private int announcementCount;
 
+    private static final class NoWritesExpected implements RecordWriter.Listener {
+        @Override
+        public void onCommitted(ImmutableSet<Machine> bound) {}
+
+        @Override
+        public void onJobCancelled(Job job) {
+            throw new AssertionError(job.id());
+        }
+
+        @Override
+        public void onWriteFailed(String reason) {
+            throw new AssertionError(reason);
+        }
+    }
+
     /** A worker whose tasks exit as soon as they are started. Its bindings have already been released. */
     private final class Worker {
         private final Machine machine;
@@ -111,7 +128,7 @@
         context = Fixtures.fleetLeaderContext(loop, new LeaderTerm(1, leaderRevision, loop.nanos()));
         StateClient client = Fixtures.fleetStateClient(context, Fixtures.directClient(loop, state));
         fencingTokens = new FencingTokens(context, client);
-        RecordWriter recordWriter = new RecordWriter(context, client, Fixtures.recordWriterListener(() -> {}));
+        RecordWriter recordWriter = new RecordWriter(context, client, new NoWritesExpected());
         heartbeatHandler = new HeartbeatHandler(context, fencingTokens, recordWriter, machine -> {});
         for (int i = 0; i < MACHINES; i++) {
             workers.add(new Worker(String.format("i-%06d", i)));
--- a/src/test/java/org/spruceridge/sim/Fixtures.java
+++ b/src/test/java/org/spruceridge/sim/Fixtures.java
@@ -2,14 +2,12 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
-import com.google.common.collect.ImmutableSet;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import org.spruceridge.cluster.Job;
 import org.spruceridge.cluster.JobKind;
 import org.spruceridge.cluster.JobPriority;
 import org.spruceridge.cluster.JobSpec;
-import org.spruceridge.cluster.Machine;
 import org.spruceridge.cluster.Resources;
 import org.spruceridge.config.Address;
 import org.spruceridge.config.Policy;
@@ -22,7 +20,6 @@
 import org.spruceridge.net.RateLimiter;
 import org.spruceridge.peer.MemberVersion;
 import org.spruceridge.peer.PeerHeartbeat;
-import org.spruceridge.persistence.RecordWriter;
 import org.spruceridge.state.StateClient;
 import org.spruceridge.term.LeaderContext;
 import org.spruceridge.term.LeaderMetrics;
@@ -104,26 +101,6 @@
         return new StateClient(loop, http, NODE_ADDRESS, limiter, context.warnings(), context.latencies());
     }
 
-    /** A listener that calls {@code onCommit} after each commit, and fails the test if a write fails or a job is cancelled. */
-    public static RecordWriter.Listener recordWriterListener(Runnable onCommit) {
-        return new RecordWriter.Listener() {
-            @Override
-            public void onCommitted(ImmutableSet<Machine> bound) {
-                onCommit.run();
-            }
-
-            @Override
-            public void onJobCancelled(Job job) {
-                throw new AssertionError(job.id());
-            }
-
-            @Override
-            public void onWriteFailed(String reason) {
-                throw new AssertionError(reason);
-            }
-        };
-    }
-
     /** An HTTP client whose requests reach the simulated state service after 5 ms, without a network. */
     public static HttpClient directClient(SimLoop loop, SimStateService state) {
         return (to, call, timeout, onResponse) -> loop.after(Durations.millis(5), () -> state.accept(call, onResponse));
