--- a/src/main/java/org/spruceridge/cluster/FailureSuspicion.java
+++ b/src/main/java/org/spruceridge/cluster/FailureSuspicion.java
@@ -1,17 +1,11 @@
 package org.spruceridge.cluster;
 
-import java.util.HashSet;
-import java.util.Set;
-
 /**
- * Signs that a machine is faulty. The machine is <em>suspect</em> while commands possibly do not reach its worker. The
- * machine is <em>cordoned</em> once tasks of several jobs have failed on it. A machine that is declared dead is
- * deleted, see {@link Machine#isTerminating()}.
+ * The suspicion that a machine is unreachable. The machine is <em>suspect</em> while commands possibly do not reach its
+ * worker. A machine that is declared dead is deleted, see {@link Machine#isTerminating()}.
  */
 public final class FailureSuspicion {
-    private final Set<String> failedJobs = new HashSet<>();
     private long suspectSince = EventTimes.NOT_HAPPENED;
-    private boolean cordoned;
 
     FailureSuspicion() {}
 
@@ -36,22 +30,4 @@
     public void recordAcknowledgement() {
         suspectSince = EventTimes.NOT_HAPPENED;
     }
-
-    /** True if the scheduler places no more tasks on the machine because tasks of several jobs failed on it. */
-    public boolean isCordoned() {
-        return cordoned;
-    }
-
-    /** Permanently excludes the machine from scheduling. */
-    public void cordon() {
-        cordoned = true;
-    }
-
-    /**
-     * The ids of the jobs whose tasks have failed on this machine since a task last completed on the machine. Callers
-     * change the set directly.
-     */
-    public Set<String> failedJobs() {
-        return failedJobs;
-    }
 }
--- a/src/main/java/org/spruceridge/cluster/Job.java
+++ b/src/main/java/org/spruceridge/cluster/Job.java
@@ -173,10 +173,9 @@
         lastEarlyExit = now;
     }
 
-    /** Records that a replica has run for a long time. Resets the count of early exits and the failed machines. */
-    public void recordStableRun() {
+    /** Resets the count of early exits. Called if a replica has run for a long time. */
+    public void resetEarlyExits() {
         earlyExits = 0;
-        failedMachines.clear();
     }
 
     /** The number of tasks that the latest heartbeats reported as running. */
@@ -192,7 +191,7 @@
 
     /**
      * The names of the machines on which tasks of this job have failed since a task of the job last completed or, for a
-     * service, since {@link #recordStableRun} was last called. Callers change the set directly.
+     * service, since a replica last ran for a long time. Callers change the set directly.
      */
     public Set<String> failedMachines() {
         return failedMachines;
--- a/src/main/java/org/spruceridge/cluster/Machine.java
+++ b/src/main/java/org/spruceridge/cluster/Machine.java
@@ -4,8 +4,8 @@
 
 /**
  * The state of a machine in the memory of this term's leader. Separate objects hold the heartbeat version, the worker
- * lease, the fencing token, signs of failure, start commands, the reclaim notice, and the bindings with the used
- * capacity. All times are nanoseconds on the monotonic clock.
+ * lease, the fencing token, signs of failure, failed tasks, start commands, the reclaim notice, and the bindings with
+ * the used capacity. All times are nanoseconds on the monotonic clock.
  */
 public final class Machine {
     private final String name;
@@ -15,6 +15,7 @@
     private final WorkerLease lease;
     private final WorkerFencing fencing = new WorkerFencing();
     private final FailureSuspicion suspicion = new FailureSuspicion();
+    private final TaskFailures taskFailures = new TaskFailures();
     private final StartCommands startCommands = new StartCommands();
     private final SpotReclaim reclaim = new SpotReclaim();
     private final MachineAllocation allocation;
@@ -83,11 +84,16 @@
         return fencing;
     }
 
-    /** Signs that the machine is faulty. */
+    /** Signs that commands do not reach the machine's worker. */
     public FailureSuspicion suspicion() {
         return suspicion;
     }
 
+    /** The failures of tasks on the machine, and whether it is cordoned because of them. */
+    public TaskFailures taskFailures() {
+        return taskFailures;
+    }
+
     /** Start commands that were sent to the machine's worker and can still be executed. */
     public StartCommands startCommands() {
         return startCommands;
@@ -216,7 +222,7 @@
      * command that got no response can still arrive.
      */
     public boolean isUnschedulable() {
-        return suspicion.isCordoned()
+        return taskFailures.isCordoned()
                 || reclaim.isAnnounced()
                 || startCommands.hasUncertainStart()
                 || suspicion.isSuspect();
--- a/src/main/java/org/spruceridge/leader/Leader.java
+++ b/src/main/java/org/spruceridge/leader/Leader.java
@@ -137,8 +137,13 @@
         this.schedulingLoop = new SchedulingLoop(context, recordWriter, newMatching(), this::sendDueCommands, resign);
         this.commandSender =
                 new CommandSender(context, fencingTokens, workers, heartbeatHandler, schedulingLoop::request);
-        this.jobWatcher =
-                new JobWatcher(context, state, recordWriter, commandSender::sendDueCommands, schedulingLoop::request);
+        this.jobWatcher = new JobWatcher(
+                context,
+                state,
+                recordWriter,
+                heartbeatHandler::recordCancellation,
+                commandSender::sendDueCommands,
+                schedulingLoop::request);
         this.failover = new Failover(context, state, recordWriter.records());
         this.failoverLogger = new FailoverLogger(term.term());
         this.featureLevelUpgrader = new FeatureLevelUpgrader(
--- a/src/main/java/org/spruceridge/reconciliation/BindingReconciler.java
+++ b/src/main/java/org/spruceridge/reconciliation/BindingReconciler.java
@@ -33,12 +33,13 @@
     BindingReconciler(
             LeaderContext context,
             RecordWriter recordWriter,
+            FailureTracker failureTracker,
             OrphanBindings orphanBindings,
             Consumer<Machine> onMachineAvailable) {
         this.loop = context.loop();
         this.recordWriter = recordWriter;
         this.warnings = context.warnings();
-        this.failureTracker = new FailureTracker(context.settings().workers());
+        this.failureTracker = failureTracker;
         this.orphanBindings = orphanBindings;
         this.onMachineAvailable = onMachineAvailable;
     }
--- a/src/main/java/org/spruceridge/reconciliation/CommandSelector.java
+++ b/src/main/java/org/spruceridge/reconciliation/CommandSelector.java
@@ -97,7 +97,7 @@
         return binding.stopMode() != Binding.StopMode.NONE
                 || machine.isTerminating()
                 || machine.reclaim().isAnnounced()
-                || machine.suspicion().isCordoned()
+                || machine.taskFailures().isCordoned()
                 || machine.suspicion().isSuspect();
     }
 
--- a/src/main/java/org/spruceridge/reconciliation/FailureTracker.java
+++ b/src/main/java/org/spruceridge/reconciliation/FailureTracker.java
@@ -1,23 +1,26 @@
 package org.spruceridge.reconciliation;
 
+import java.util.List;
+import java.util.Objects;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.spruceridge.cluster.Binding;
+import org.spruceridge.cluster.Cluster;
 import org.spruceridge.cluster.Job;
 import org.spruceridge.cluster.Machine;
 import org.spruceridge.config.Settings;
 import org.spruceridge.net.Durations;
+import org.spruceridge.term.LeaderContext;
 import org.spruceridge.worker.WorkerHeartbeat.ExitCause;
 
 /**
- * Distinguishes faulty machines from faulty jobs by the exits of tasks. Faulty machines are cordoned, and faulty jobs
- * are retried with exponential backoff.
+ * Distinguishes faulty machines from faulty jobs by the exits of tasks and by cancellations. Faulty machines are
+ * cordoned, and faulty jobs are retried with exponential backoff.
  */
 final class FailureTracker {
     private static final Logger LOG = LoggerFactory.getLogger(FailureTracker.class);
 
-    /** A machine is cordoned when tasks of this many jobs have failed on it. */
-    private static final int FAILED_JOBS_BEFORE_CORDON = 2;
     /**
      * The count of consecutive early exits of replicas restarts if the previous early exit is more than this many
      * cancellation times ago. The cancellation time is also the maximum backoff.
@@ -26,10 +29,15 @@
 
     private static final int MAX_BACKOFF_DOUBLINGS = 16;
 
+    private final Cluster cluster;
     private final Settings.Workers workers;
+    private final MachineCordons cordons;
 
-    FailureTracker(Settings.Workers workers) {
-        this.workers = workers;
+    /** {@code onMachineAvailable} is called for each machine whose cordon has ended. */
+    FailureTracker(LeaderContext context, Consumer<Machine> onMachineAvailable) {
+        this.cluster = context.cluster();
+        this.workers = context.settings().workers();
+        this.cordons = new MachineCordons(onMachineAvailable);
     }
 
     /**
@@ -38,14 +46,12 @@
      */
     void recordExit(Binding binding, ExitCause cause, double elapsedS, long now) {
         Job job = binding.job();
-        Machine machine = binding.machine();
         if (job.spec().isService()) {
-            recordReplicaExit(job, machine, elapsedS, now);
+            recordReplicaExit(binding, elapsedS, now);
         } else if (cause == ExitCause.ERROR) {
-            recordFailure(job, machine, now);
+            recordFailure(job, binding.machine(), now);
         } else {
-            machine.suspicion().failedJobs().clear();
-            job.failedMachines().clear();
+            recordSuccess(binding, "task-completed", now);
         }
     }
 
@@ -54,30 +60,57 @@
         delayRetry(job, workers.heartbeatIntervalS(), now);
     }
 
+    /**
+     * Records that the job was cancelled. Its failures then indicate no faulty machine, unless a task of the job has
+     * completed since.
+     */
+    void recordCancellation(Job job, long now) {
+        for (Machine machine : failedMachines(job)) {
+            machine.taskFailures().withdrawUnconfirmed(job);
+            cordons.update(machine, "job-cancelled", now);
+        }
+    }
+
     /**
      * Failures of several jobs on one machine indicate a faulty machine. Failures of one job on many machines indicate
-     * a faulty job.
+     * a faulty job, and then no faulty machine.
      */
     private void recordFailure(Job job, Machine machine, long now) {
-        job.failedMachines().add(machine.name());
-        machine.suspicion().failedJobs().add(job.id());
         LOG.info("task failed job={} machine={}", job.id(), machine.name());
-        if (isFaulty(machine, job)) {
-            machine.suspicion().cordon();
-            LOG.info(
-                    "machine cordoned machine={} reason=task-failures failedJobs={}",
-                    machine.name(),
-                    machine.suspicion().failedJobs());
+        if (job.isCancelled()) {
+            return;
         }
+        job.failedMachines().add(machine.name());
+        machine.taskFailures().record(job, now);
+        cordons.update(machine, "task-failures", now);
         if (job.failsOnManyMachines()) {
+            failedMachines(job).forEach(failed -> cordons.update(failed, "job-fails-on-many-machines", now));
             backOff(job, job.failedMachines().size(), now);
         }
     }
 
-    private static boolean isFaulty(Machine machine, Job job) {
-        return !machine.suspicion().isCordoned()
-                && machine.suspicion().failedJobs().size() >= FAILED_JOBS_BEFORE_CORDON
-                && !job.failsOnManyMachines();
+    /**
+     * Records that a task succeeded. This refutes earlier failures on its machine, and shows that the machines on which
+     * other tasks of the job failed are the cause of those failures.
+     */
+    private void recordSuccess(Binding binding, String reason, long now) {
+        Job job = binding.job();
+        Machine machine = binding.machine();
+        machine.taskFailures().refuteBefore(binding.createdAt());
+        cordons.update(machine, reason, now);
+        List<Machine> failedMachines = failedMachines(job);
+        job.failedMachines().clear();
+        for (Machine failed : failedMachines) {
+            failed.taskFailures().confirm(job);
+            cordons.update(failed, "job-succeeded-on-other-machine", now);
+        }
+    }
+
+    private List<Machine> failedMachines(Job job) {
+        return job.failedMachines().stream()
+                .map(cluster::machine)
+                .filter(Objects::nonNull)
+                .toList();
     }
 
     /**
@@ -85,12 +118,14 @@
      * replica is restarted immediately. After an early exit, the replica is restarted on another machine. Exponential
      * backoff applies once the number of consecutive early exits exceeds the number of replicas of the service.
      */
-    private void recordReplicaExit(Job job, Machine machine, double elapsedS, long now) {
+    private void recordReplicaExit(Binding binding, double elapsedS, long now) {
+        Job job = binding.job();
         if (elapsedS >= workers.leaseS()) {
-            job.recordStableRun();
+            job.resetEarlyExits();
+            recordSuccess(binding, "replica-ran-stably", now);
             return;
         }
-        recordFailure(job, machine, now);
+        recordFailure(job, binding.machine(), now);
         job.countEarlyExit(now, Durations.nanos(EARLY_EXIT_WINDOW_IN_CANCEL_TIMES * workers.cancelS()));
         int excessExits = job.earlyExits() - job.spec().taskCount();
         if (excessExits > 0) {
--- a/src/main/java/org/spruceridge/reconciliation/HeartbeatHandler.java
+++ b/src/main/java/org/spruceridge/reconciliation/HeartbeatHandler.java
@@ -5,6 +5,7 @@
 import java.util.function.Consumer;
 import org.spruceridge.cluster.Binding;
 import org.spruceridge.cluster.Cluster;
+import org.spruceridge.cluster.Job;
 import org.spruceridge.cluster.Machine;
 import org.spruceridge.net.Loop;
 import org.spruceridge.persistence.RecordWriter;
@@ -24,6 +25,7 @@
     private final Loop loop;
     private final Cluster cluster;
     private final HeartbeatAdmission admission;
+    private final FailureTracker failureTracker;
     private final BindingReconciler bindingReconciler;
     private final CommandSelector commandSelector;
     private final LeaseRenewals leaseRenewals;
@@ -33,7 +35,7 @@
 
     /**
      * {@code onMachineAvailable} is called for each machine with newly available capacity: after the machine's first
-     * heartbeat of an incarnation or a term, and after a task on the machine has exited.
+     * heartbeat of an incarnation or a term, after a task on the machine has exited, and when its cordon has ended.
      */
     public HeartbeatHandler(
             LeaderContext context,
@@ -44,7 +46,9 @@
         this.loop = context.loop();
         this.cluster = context.cluster();
         this.admission = new HeartbeatAdmission(context, fencingTokens);
-        this.bindingReconciler = new BindingReconciler(context, recordWriter, orphanBindings, onMachineAvailable);
+        this.failureTracker = new FailureTracker(context, onMachineAvailable);
+        this.bindingReconciler =
+                new BindingReconciler(context, recordWriter, failureTracker, orphanBindings, onMachineAvailable);
         this.commandSelector = new CommandSelector(context, orphanBindings);
         this.leaseRenewals = new LeaseRenewals(context, fencingTokens);
         this.fencingTokens = fencingTokens;
@@ -93,6 +97,11 @@
         apply(heartbeat, HeartbeatOrigin.COMMAND_RESPONSE);
     }
 
+    /** Records that a job was cancelled: its failures then indicate no faulty machine. */
+    public void recordCancellation(Job job) {
+        failureTracker.recordCancellation(job, loop.nanos());
+    }
+
     /** Called when the failover is complete. All recorded machines are known from then on. */
     public void failoverCompleted() {
         leaseRenewals.failoverCompleted();
--- a/src/main/java/org/spruceridge/reconciliation/JobCanceller.java
+++ b/src/main/java/org/spruceridge/reconciliation/JobCanceller.java
@@ -20,6 +20,7 @@
     private final long term;
     private final RecordWriter recordWriter;
     private final CancellationView view;
+    private final Consumer<Job> onJobCancelled;
     private final Consumer<Machine> onCommandsDue;
     private final Runnable onJobsChanged;
 
@@ -27,12 +28,14 @@
             LeaderContext context,
             RecordWriter recordWriter,
             CancellationView view,
+            Consumer<Job> onJobCancelled,
             Consumer<Machine> onCommandsDue,
             Runnable onJobsChanged) {
         this.loop = context.loop();
         this.term = context.term().term();
         this.recordWriter = recordWriter;
         this.view = view;
+        this.onJobCancelled = onJobCancelled;
         this.onCommandsDue = onCommandsDue;
         this.onJobsChanged = onJobsChanged;
     }
@@ -44,6 +47,7 @@
         }
         job.cancel(view.completeUpTo(), loop.nanos());
         recordWriter.discardCancelledJob(job);
+        onJobCancelled.accept(job);
         List<Machine> machines =
                 job.bindings().stream().map(Binding::machine).distinct().toList();
         log(job, source, machines.size());
--- a/src/main/java/org/spruceridge/reconciliation/JobWatcher.java
+++ b/src/main/java/org/spruceridge/reconciliation/JobWatcher.java
@@ -48,13 +48,14 @@
     private Cancellable watch = () -> {};
 
     /**
-     * {@code onCommandsDue} is called for each machine on which a task has to be stopped. {@code onJobsChanged} is
-     * called after jobs were added or cancelled.
+     * {@code onJobCancelled} is called for each cancelled job, and {@code onCommandsDue} for each machine on which a task
+     * of the job has to be stopped. {@code onJobsChanged} is called after jobs were added or cancelled.
      */
     public JobWatcher(
             LeaderContext context,
             StateClient state,
             RecordWriter recordWriter,
+            Consumer<Job> onJobCancelled,
             Consumer<Machine> onCommandsDue,
             Runnable onJobsChanged) {
         CancellationTimes times = CancellationTimes.of(context.settings().workers());
@@ -65,7 +66,7 @@
         this.recordWriter = recordWriter;
         this.warnings = context.warnings();
         this.view = new CancellationView(loop, Durations.nanos(times.maxStalenessS()));
-        this.canceller = new JobCanceller(context, recordWriter, view, onCommandsDue, onJobsChanged);
+        this.canceller = new JobCanceller(context, recordWriter, view, onJobCancelled, onCommandsDue, onJobsChanged);
         this.onJobsChanged = onJobsChanged;
         this.watchDurationS = times.watchTimeoutS();
     }
--- a/src/main/java/org/spruceridge/schedule/MachineCapacity.java
+++ b/src/main/java/org/spruceridge/schedule/MachineCapacity.java
@@ -65,9 +65,7 @@
      * likely cause, so every machine accepts that job.
      */
     boolean accepts(Job job) {
-        return job.failedMachines().isEmpty()
-                || job.failsOnManyMachines()
-                || !job.failedMachines().contains(machine.name());
+        return !machine.taskFailures().contains(job) || job.failsOnManyMachines();
     }
 
     boolean fits(Resources task) {
--- /dev/null
+++ b/src/test/java/org/spruceridge/reconciliation/FailureTrackerTest.java
@@ -0,0 +1,187 @@
+package org.spruceridge.reconciliation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.spruceridge.cluster.Binding;
+import org.spruceridge.cluster.Cluster;
+import org.spruceridge.cluster.Job;
+import org.spruceridge.cluster.JobKind;
+import org.spruceridge.cluster.Machine;
+import org.spruceridge.cluster.MachineKind;
+import org.spruceridge.net.Durations;
+import org.spruceridge.sim.Fixtures;
+import org.spruceridge.sim.SimLoop;
+import org.spruceridge.term.LeaderContext;
+import org.spruceridge.term.LeaderTerm;
+import org.spruceridge.worker.WorkerHeartbeat.ExitCause;
+
+/** Each way into the state cordoned, and each way out of it. */
+final class FailureTrackerTest {
+    private static final double FAILED_RUN_S = 0.5;
+    private static final double LONG_RUN_S = 100;
+
+    private final LeaderContext context = Fixtures.fleetLeaderContext(new SimLoop(), new LeaderTerm(7, 1, 0));
+    private final Cluster cluster = context.cluster();
+    private final List<Machine> availableMachines = new ArrayList<>();
+    private final FailureTracker tracker = new FailureTracker(context, availableMachines::add);
+    private final Machine machine = addMachine("i-1");
+    private final Job firstJob = addJob(1, JobKind.ARRAY);
+    private final Job secondJob = addJob(2, JobKind.ARRAY);
+    private long now = Durations.nanos(1000);
+    private long attempt;
+
+    private Machine addMachine(String name) {
+        Machine added = new Machine(name, "", new MachineKind("t8", "a", false), 0, 0);
+        cluster.add(added);
+        return added;
+    }
+
+    private Job addJob(int number, JobKind kind) {
+        Job job = Fixtures.job(number, kind, 10);
+        cluster.add(job);
+        return job;
+    }
+
+    /** Binds the next task of the job, one second after the previous event. */
+    private Binding bind(Job job, Machine target) {
+        now += Durations.nanos(1);
+        Binding binding = new Binding(job, (int) attempt % 10, ++attempt, target, Binding.Stage.COMMITTED, now);
+        binding.recordPhase(Binding.Phase.RUNNING, now);
+        return binding;
+    }
+
+    private void exit(Binding binding, ExitCause cause, double runS) {
+        now += Durations.nanos(runS);
+        tracker.recordExit(binding, cause, runS, now);
+    }
+
+    private void fail(Job job, Machine target) {
+        exit(bind(job, target), ExitCause.ERROR, FAILED_RUN_S);
+    }
+
+    private void complete(Job job, Machine target) {
+        exit(bind(job, target), ExitCause.DONE, 1);
+    }
+
+    private void cancel(Job job) {
+        job.cancel(now, now);
+        tracker.recordCancellation(job, now);
+    }
+
+    private void cordonMachine() {
+        fail(firstJob, machine);
+        assertFalse(machine.isUnschedulable());
+        fail(secondJob, machine);
+        assertTrue(machine.isUnschedulable());
+    }
+
+    private void assertCordonEnded() {
+        assertFalse(machine.isUnschedulable());
+        assertEquals(List.of(machine), availableMachines);
+    }
+
+    @Test
+    void severalFailuresOfOneJobCordonNoMachine() {
+        fail(firstJob, machine);
+        fail(firstJob, machine);
+        assertFalse(machine.isUnschedulable());
+    }
+
+    /** Guards against machines that stay cordoned because of jobs that were cancelled. */
+    @Test
+    void cancellationOfFailedJobEndsCordon() {
+        cordonMachine();
+        cancel(firstJob);
+        assertCordonEnded();
+    }
+
+    /**
+     * A cancelled job whose tasks completed on another machine was no faulty job, so the machine is still the likely
+     * cause.
+     */
+    @Test
+    void cancellationOfJobThatSucceededOnOtherMachineKeepsCordon() {
+        cordonMachine();
+        complete(firstJob, addMachine("i-2"));
+        complete(secondJob, addMachine("i-3"));
+        cancel(firstJob);
+        cancel(secondJob);
+        assertTrue(machine.isUnschedulable());
+    }
+
+    @Test
+    void failureOfCancelledJobIsIgnored() {
+        fail(firstJob, machine);
+        Binding running = bind(secondJob, machine);
+        cancel(secondJob);
+        exit(running, ExitCause.ERROR, FAILED_RUN_S);
+        assertFalse(machine.isUnschedulable());
+    }
+
+    /** Guards against machines that stay cordoned because of a job that later turned out to fail everywhere. */
+    @Test
+    void jobThatFailsOnThreeMachinesEndsCordon() {
+        cordonMachine();
+        fail(firstJob, addMachine("i-2"));
+        assertTrue(machine.isUnschedulable());
+        fail(firstJob, addMachine("i-3"));
+        assertCordonEnded();
+    }
+
+    @Test
+    void jobThatFailedOnThreeMachinesAndSucceedsAgainRestoresCordon() {
+        cordonMachine();
+        fail(firstJob, addMachine("i-2"));
+        fail(firstJob, addMachine("i-3"));
+        assertCordonEnded();
+        complete(firstJob, addMachine("i-4"));
+        assertTrue(machine.isUnschedulable());
+    }
+
+    /** A machine can fail every new task while its earlier tasks go on. */
+    @Test
+    void successOfTaskThatStartedBeforeFailuresKeepsCordon() {
+        Binding earlier = bind(addJob(3, JobKind.ARRAY), machine);
+        cordonMachine();
+        exit(earlier, ExitCause.DONE, 1);
+        assertTrue(machine.isUnschedulable());
+    }
+
+    @Test
+    void successOfTaskThatStartedAfterFailuresEndsCordon() {
+        cordonMachine();
+        complete(addJob(3, JobKind.ARRAY), machine);
+        assertCordonEnded();
+    }
+
+    @Test
+    void successOfTaskThatStartedBetweenFailuresRefutesOnlyEarlierOnes() {
+        fail(firstJob, machine);
+        Binding between = bind(addJob(3, JobKind.ARRAY), machine);
+        fail(secondJob, machine);
+        assertTrue(machine.isUnschedulable());
+        exit(between, ExitCause.DONE, 1);
+        assertCordonEnded();
+        fail(firstJob, machine);
+        assertTrue(machine.isUnschedulable());
+    }
+
+    @Test
+    void longRunOfReplicaThatStartedAfterFailuresEndsCordon() {
+        cordonMachine();
+        exit(bind(addJob(3, JobKind.SERVICE), machine), ExitCause.ERROR, LONG_RUN_S);
+        assertCordonEnded();
+    }
+
+    @Test
+    void earlyExitsOfReplicasOfTwoServicesCordonMachine() {
+        fail(addJob(3, JobKind.SERVICE), machine);
+        fail(addJob(4, JobKind.SERVICE), machine);
+        assertTrue(machine.isUnschedulable());
+    }
+}
--- a/src/test/java/org/spruceridge/schedule/MatchingTest.java
+++ b/src/test/java/org/spruceridge/schedule/MatchingTest.java
@@ -164,7 +164,7 @@
         Machine withoutHeartbeat = new Machine("unheard", "", new MachineKind("t8", "a", false), NOW, NOW);
         cluster.add(withoutHeartbeat);
         addMachine("returning", "a", false).markTerminating();
-        addMachine("faulty", "a", false).suspicion().cordon();
+        addMachine("faulty", "a", false).taskFailures().cordon(NOW);
         addMachine("noticed", "a", true).reclaim().announce(NOW + 1);
         job().add();
         assertEquals(List.of(), machineNames(plan()));
--- a/src/test/java/org/spruceridge/sim/SimWorker.java
+++ b/src/test/java/org/spruceridge/sim/SimWorker.java
@@ -44,6 +44,8 @@
         COMPLETES,
         /** Tasks and replicas of services end with the cause {@code error}. */
         FAILS,
+        /** As {@link #FAILS} for those that start from now on; earlier ones complete or go on. */
+        FAILS_NEW_TASKS,
         /** Tasks complete, and replicas of services end with the cause {@code done}. */
         ENDS_SERVICES
     }
@@ -51,6 +53,7 @@
     private static final class Task {
         private final String id;
         private final long attempt;
+        private boolean fails;
         private String stage = "running";
         private String cause;
 
@@ -333,7 +336,8 @@
         tasks.put(key, task);
         cluster.taskStarted(task.id, this, zone, spot);
         sendHeartbeatSoon();
-        boolean endsByItself = !cluster.isReplica(task.id) || behaviour != Behaviour.COMPLETES;
+        task.fails = behaviour == Behaviour.FAILS_NEW_TASKS || cluster.isMistaken(task.id);
+        boolean endsByItself = !cluster.isReplica(task.id) || behaviour != Behaviour.COMPLETES || task.fails;
         if (endsByItself) {
             process.after(Durations.nanos(cluster.durationS(task.id)), () -> complete(task, key));
         }
@@ -343,7 +347,7 @@
         if (isHung) {
             deferred.add(() -> complete(task, key));
         } else if (tasks.get(key) == task && !task.stage.equals("ended")) {
-            endTask(task, behaviour == Behaviour.FAILS ? "error" : "done");
+            endTask(task, behaviour == Behaviour.FAILS || task.fails ? "error" : "done");
         }
     }
 
--- a/src/test/java/org/spruceridge/sim/SimulatedCluster.java
+++ b/src/test/java/org/spruceridge/sim/SimulatedCluster.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -47,6 +48,7 @@
     public final SimUsers users;
     private final RuleChecker rules;
     private final List<String> taskStarts = new ArrayList<>();
+    private final Set<String> mistakenJobs = new HashSet<>();
     /**
      * The limits of the state service. {@code announcesLowerLimits} is true if the settings of the nodes also contain
      * the lower limits that apply after {@link SimulatedCluster#lowerLimits}.
@@ -352,6 +354,22 @@
         return rules.machinesByRunningTask();
     }
 
+    /**
+     * Submits a job with a mistake: its tasks fail on every machine. Fails if the job is not accepted.
+     */
+    public void submitMistaken(ObjectNode job) {
+        mistakenJobs.add(job.path("nameId").asText());
+        int status = submit(job);
+        if (status != 201) {
+            throw new AssertionError("the job was not accepted, status " + status);
+        }
+    }
+
+    /** True if the task belongs to a job whose tasks fail on every machine. */
+    boolean isMistaken(String taskId) {
+        return mistakenJobs.contains(taskId.split("/")[0]);
+    }
+
     /** True if the task is a replica of a service, which ends only when it is stopped. */
     boolean isReplica(String taskId) {
         return RuleChecker.isService(rules.job(taskId.split("/")[0]));
