--- a/src/main/java/org/spruceridge/autoscaling/ScaleInCycle.java
+++ b/src/main/java/org/spruceridge/autoscaling/ScaleInCycle.java
@@ -42,21 +42,24 @@
     void run(Set<Machine> neededMachines, long now) {
         List<Machine> machinesToDelete = new ArrayList<>();
         for (Machine machine : cluster.machines()) {
-            if (canBeDeleted(machine) && (isUnusable(machine, now) || isSurplus(machine, neededMachines, now))) {
+            if (canBeDeleted(machine, now) && (isUnusable(machine, now) || isSurplus(machine, neededMachines, now))) {
                 machinesToDelete.add(machine);
             }
         }
         scaleInRequests.delete(machinesToDelete, "idle-or-unusable");
     }
 
-    private static boolean canBeDeleted(Machine machine) {
+    private boolean canBeDeleted(Machine machine, long now) {
         return !machine.isTerminating()
                 && machine.hasReported()
-                && (machine.bindings().isEmpty() || canStartOfCancelledTaskStillArrive(machine));
+                && (machine.bindings().isEmpty()
+                        || (canStartOfCancelledTaskStillArrive(machine) && !isBeingProbed(machine, now)));
     }
 
     private boolean isUnusable(Machine machine, long now) {
-        return machine.isUnschedulable() && !(machine.suspicion().isSuspect() && isBeingProbed(machine, now));
+        boolean isUnanswered =
+                machine.suspicion().isSuspect() || machine.startCommands().hasUncertainStart();
+        return machine.isUnschedulable() && !(isUnanswered && isBeingProbed(machine, now));
     }
 
     private boolean isSurplus(Machine machine, Set<Machine> neededMachines, long now) {
@@ -73,11 +76,11 @@
     }
 
     /**
-     * True if a suspect machine can still respond to a probe. The machine gets half a lease from the time at which it
-     * became suspect or its oldest pending command was sent, whichever is earlier.
+     * True if a machine can still respond to a probe or accept a higher fencing token. The machine gets half a lease from
+     * the earliest of three events: it became suspect, its oldest pending command was sent, or a start became uncertain.
      */
     private boolean isBeingProbed(Machine machine, long now) {
-        return Durations.secondsSince(machine.unacknowledgedSince(), now)
+        return Durations.secondsSince(machine.unansweredSince(), now)
                 < settings.workers().leaseS() / 2;
     }
 
--- a/src/main/java/org/spruceridge/cluster/Machine.java
+++ b/src/main/java/org/spruceridge/cluster/Machine.java
@@ -217,6 +217,14 @@
         return since;
     }
 
+    /**
+     * The earlier of two times: since when the machine has not acknowledged a command, and since when a start command
+     * has been uncertain. Meaningful only if the machine is suspect or a start is uncertain.
+     */
+    public long unansweredSince() {
+        return Math.min(unacknowledgedSince(), startCommands.uncertainSince());
+    }
+
     /**
      * True if tasks must not be placed on the machine: it is cordoned, suspect or about to be reclaimed, or a start
      * command that got no response can still arrive.
--- a/src/main/java/org/spruceridge/cluster/StartCommands.java
+++ b/src/main/java/org/spruceridge/cluster/StartCommands.java
@@ -2,12 +2,18 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
 
 /**
  * Start commands that were sent to the current incarnation of a worker and can still be executed, or executed again. A
  * start command is sent directly, in a request to the worker, or in the response to a heartbeat.
+ *
+ * <p>A direct start without a response is <em>uncertain</em>. It can arrive at any later time, so only proof ends the
+ * uncertainty: the worker lists the attempt, and ignores the command from then on; the worker has accepted a higher
+ * fencing token, and rejects the command; or the worker begins a new incarnation, and rejects the command. All times are
+ * nanoseconds on the monotonic clock.
  */
 public final class StartCommands {
     private final Set<Long> unresolvedDirectStarts = new HashSet<>();
@@ -20,8 +26,10 @@
      */
     private final Map<Long, Long> repeatableStartTokens = new HashMap<>();
 
+    /** The time at which each direct start without a response became uncertain, by attempt, oldest first. */
+    private final Map<Long, Long> uncertainSince = new LinkedHashMap<>();
+
     private long acceptedFencingToken;
-    private boolean startUncertain;
 
     StartCommands() {}
 
@@ -62,13 +70,34 @@
     public void recordAcceptedFencingToken(long fencingToken) {
         if (fencingToken > acceptedFencingToken) {
             acceptedFencingToken = fencingToken;
+            unresolvedDirectStarts.removeIf(attempt -> repeatableStartTokens.get(attempt) < fencingToken);
             repeatableStartTokens.values().removeIf(token -> token < fencingToken);
+            uncertainSince.keySet().retainAll(unresolvedDirectStarts);
         }
     }
 
+    /**
+     * Records that the worker lists this attempt. It ignores all start commands for the attempt, as long as it does not
+     * forget the attempt, see {@link #isForgettable}.
+     */
+    public void recordListed(long attempt) {
+        recordDirectStartResolved(attempt);
+    }
+
     /** Records that the result of the direct start command for this attempt is known. */
     public void recordDirectStartResolved(long attempt) {
         unresolvedDirectStarts.remove(attempt);
+        uncertainSince.remove(attempt);
+    }
+
+    /**
+     * Records that the worker did not respond to the direct start command for this attempt. Does nothing if proof shows
+     * already that the command can start nothing.
+     */
+    public void recordDirectStartUnanswered(long attempt, long now) {
+        if (isDirectStartUnresolved(attempt)) {
+            uncertainSince.putIfAbsent(attempt, now);
+        }
     }
 
     /** Records that the response to the latest heartbeat starts this attempt. */
@@ -84,14 +113,14 @@
         startsInResponse.clear();
     }
 
-    /** True if a direct start command to this incarnation got no response. Such a command can still arrive. */
+    /** True if a direct start command to this incarnation got no response and can still start a task. */
     public boolean hasUncertainStart() {
-        return startUncertain;
+        return !uncertainSince.isEmpty();
     }
 
-    /** Records that the worker did not respond to a direct start command. */
-    public void markStartUncertain() {
-        startUncertain = true;
+    /** The time since which a start has been uncertain; {@link EventTimes#NOT_HAPPENED} if none is uncertain. */
+    long uncertainSince() {
+        return hasUncertainStart() ? uncertainSince.values().iterator().next() : EventTimes.NOT_HAPPENED;
     }
 
     /**
@@ -102,6 +131,6 @@
         unresolvedDirectStarts.clear();
         startsInResponse.clear();
         repeatableStartTokens.clear();
-        startUncertain = false;
+        uncertainSince.clear();
     }
 }
--- a/src/main/java/org/spruceridge/dispatch/CommandSender.java
+++ b/src/main/java/org/spruceridge/dispatch/CommandSender.java
@@ -30,9 +30,10 @@
  * while the worker knows the attempt. Therefore the worker may forget the attempt only once it has accepted a higher
  * fencing token, see {@link org.spruceridge.cluster.StartCommands#isForgettable}.
  *
- * <p>A direct start is unresolved until its result is known. While the start is unresolved, a heartbeat without the
- * task does not prove that the task is gone. During this time, the worker gets no command to forget the attempt. A
- * machine that does not answer a direct start gets no more tasks and is terminated.
+ * <p>A direct start is unresolved until its result is known, or until there is proof that the worker will not execute it,
+ * see {@link org.spruceridge.cluster.StartCommands}. While the start is unresolved, a heartbeat without the task does not
+ * prove that the task is gone. During this time, the worker gets no command to forget the attempt. A machine that does
+ * not answer a direct start gets no more tasks until there is such proof.
  */
 public final class CommandSender {
     private static final Logger LOG = LoggerFactory.getLogger(CommandSender.class);
@@ -135,9 +136,18 @@
             for (Binding binding : batch.bindingsToStart()) {
                 machine.startCommands().recordDirectStartResolved(binding.attempt());
             }
-        } else if (!batch.bindingsToStart().isEmpty() && machine.incarnation() == incarnation) {
+        } else if (machine.incarnation() == incarnation) {
+            recordUnansweredStarts(machine, batch);
+        }
+    }
+
+    private void recordUnansweredStarts(Machine machine, CommandBatch batch) {
+        boolean wasUncertain = machine.startCommands().hasUncertainStart();
+        for (Binding binding : batch.bindingsToStart()) {
+            machine.startCommands().recordDirectStartUnanswered(binding.attempt(), loop.nanos());
+        }
+        if (machine.startCommands().hasUncertainStart() && !wasUncertain) {
             LOG.info("machine excluded from scheduling machine={} reason=start-unanswered", machine.name());
-            machine.startCommands().markStartUncertain();
         }
     }
 
--- a/src/main/java/org/spruceridge/reconciliation/FencingTokenRaiser.java
+++ b/src/main/java/org/spruceridge/reconciliation/FencingTokenRaiser.java
@@ -10,9 +10,11 @@
 import org.spruceridge.worker.WorkerHeartbeat.TaskStatus;
 
 /**
- * Raises the fencing token of a worker whose heartbeat lists exited attempts that the worker must not forget yet,
- * because a duplicate of their direct start command could start them again. Once the worker has accepted the higher
- * token, it rejects such duplicates and may forget the attempts. This bounds the length of heartbeats.
+ * Raises the fencing token of a worker, so that the worker rejects direct commands that were sent before. This is needed
+ * in two cases. In the first case, a heartbeat lists exited attempts that the worker must not forget yet, because a
+ * duplicate of their direct start command could start them again. Once the worker has accepted the higher token, it may
+ * forget the attempts. This bounds the length of heartbeats. In the second case, a direct start got no response. Once the
+ * worker has accepted the higher token, the start can no longer be executed.
  */
 final class FencingTokenRaiser {
     /**
@@ -36,8 +38,16 @@
 
     /** Raises the token if it is time to. {@code unboundStatuses} are those of the heartbeat that match no binding. */
     void raiseIfDue(Machine machine, WorkerHeartbeat heartbeat, List<TaskStatus> unboundStatuses) {
-        if (unboundStatuses.isEmpty() || heartbeat.fencingToken() != fencingTokens.current(machine)) {
-            return; // nothing to forget, or the worker has not accepted the previous raise yet
+        boolean hasUncertainStart = machine.startCommands().hasUncertainStart();
+        if (unboundStatuses.isEmpty() && !hasUncertainStart) {
+            return;
+        }
+        if (heartbeat.fencingToken() != fencingTokens.current(machine)) {
+            return; // the worker has not accepted the previous raise yet
+        }
+        if (hasUncertainStart) {
+            fencingTokens.raise(machine, loop.nanos());
+            return;
         }
         long repeatableCount = unboundStatuses.stream()
                 .filter(TaskStatus::hasExited)
--- a/src/main/java/org/spruceridge/reconciliation/HeartbeatAdmission.java
+++ b/src/main/java/org/spruceridge/reconciliation/HeartbeatAdmission.java
@@ -55,7 +55,8 @@
     }
 
     /**
-     * Records an accepted heartbeat on its machine: the version, the address, the fencing token and the reclaim notice.
+     * Records an accepted heartbeat on its machine: the version, the address, the fencing token, the listed attempts and
+     * the reclaim notice.
      */
     void record(Machine machine, WorkerHeartbeat heartbeat, HeartbeatOrigin origin, long now) {
         long incarnation = heartbeat.incarnation();
@@ -66,6 +67,7 @@
         }
         machine.fencing().fence();
         machine.startCommands().recordAcceptedFencingToken(heartbeat.fencingToken());
+        heartbeat.tasks().forEach(status -> machine.startCommands().recordListed(status.attempt()));
         if (heartbeat.reclaimNoticeS().isPresent()) {
             long noticeNanos = Durations.nanos(heartbeat.reclaimNoticeS().getAsDouble());
             machine.reclaim().announce(now + noticeNanos);
--- a/src/main/java/org/spruceridge/reconciliation/HeartbeatHandler.java
+++ b/src/main/java/org/spruceridge/reconciliation/HeartbeatHandler.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.spruceridge.cluster.Binding;
 import org.spruceridge.cluster.Cluster;
 import org.spruceridge.cluster.Job;
@@ -22,6 +24,8 @@
  * admission, recording, reconciliation of bindings, selection of commands, and renewal of the worker's lease.
  */
 public final class HeartbeatHandler {
+    private static final Logger LOG = LoggerFactory.getLogger(HeartbeatHandler.class);
+
     private final Loop loop;
     private final Cluster cluster;
     private final HeartbeatAdmission admission;
@@ -35,7 +39,8 @@
 
     /**
      * {@code onMachineAvailable} is called for each machine with newly available capacity: after the machine's first
-     * heartbeat of an incarnation or a term, after a task on the machine has exited, and when its cordon has ended.
+     * heartbeat of an incarnation or a term, after a task on the machine has exited, when its cordon has ended, and when
+     * no start on it is uncertain any more.
      */
     public HeartbeatHandler(
             LeaderContext context,
@@ -124,8 +129,13 @@
         }
         Machine machine = cluster.machine(heartbeat.machine());
         long now = loop.nanos();
+        boolean hadUncertainStart = machine.startCommands().hasUncertainStart();
         boolean machineBecomesAvailable = admission.makesMachineAvailable(machine, heartbeat);
         admission.record(machine, heartbeat, origin, now);
+        if (hadUncertainStart && !machine.startCommands().hasUncertainStart()) {
+            LOG.info("machine schedulable again machine={} reason=start-settled", machine.name());
+            machineBecomesAvailable = true;
+        }
         List<TaskStatus> unboundStatuses = bindingReconciler.reconcile(machine, heartbeat.tasks(), now);
         if (machineBecomesAvailable) {
             onMachineAvailable.accept(machine);
--- a/src/test/java/org/spruceridge/scenario/StartCommandScenarioTest.java
+++ b/src/test/java/org/spruceridge/scenario/StartCommandScenarioTest.java
@@ -22,6 +22,9 @@
     private static final String JOB_3_TASK = "j-000003/0";
     private static final String JOB_4_TASK = "j-000004/0";
 
+    /** The limit of the users' page on the wait of a job for which a machine has capacity. */
+    private static final double MAX_WAIT_S = 90;
+
     private final SimulatedCluster cluster = new SimulatedCluster(3);
     private SimWorker worker;
     private int heartbeatCount;
@@ -111,6 +114,73 @@
         cluster.verifyRecovery(250);
     }
 
+    /**
+     * Guards against machines that get no tasks for the rest of a term. The direct command is held, the response to a
+     * heartbeat starts the task, and the machine is never idle.
+     */
+    @Test
+    void machineGetsTasksAgainOnceItListsTaskOfUnansweredStartCommand() {
+        holdStartsOf(JOB_3_TASK);
+        cluster.submit(SimJobs.array(3, 1).put("cpus", 2.0));
+        cluster.await(() -> cluster.completedTasks().contains(JOB_3_TASK), 30);
+        cluster.loop.run(SimulatedCluster.LEASE_S / 2); // by now the leader has given up waiting for the response
+        cluster.submit(SimJobs.array(4, 1).put("cpus", 2.0));
+        cluster.await(() -> cluster.completedTasks().contains(JOB_4_TASK), MAX_WAIT_S);
+        assertTrue(cluster.taskStarts().contains(JOB_4_TASK + "@" + worker.name()));
+        cluster.verifyRecovery(250);
+    }
+
+    /**
+     * Guards against the same fault, and against the deletion of a machine with running tasks: the start is held, and its
+     * job is cancelled before a response can start the task. The worker rejects the start once it has accepted a
+     * higher fencing token, however late the start arrives.
+     */
+    @Test
+    void machineKeepsTasksWhileUnansweredStartCommandOfCancelledJobIsInvalidated() {
+        holdStartsOf(JOB_3_TASK);
+        cluster.submit(SimJobs.array(3, 1).put("cpus", 2.0));
+        while (cluster.net.heldCount() == 0) {
+            cluster.loop.run(0.01);
+        }
+        assertEquals("cancelled", cluster.cancel(cluster.leader(), "j-000003"));
+        cluster.loop.run(SimulatedCluster.LEASE_S / 2); // by now the leader has given up waiting for the response
+        cluster.submit(SimJobs.array(4, 1).put("cpus", 2.0).put("expectS", 60.0));
+        cluster.await(() -> cluster.runningTasks().containsKey(JOB_4_TASK), MAX_WAIT_S);
+        cluster.net.deliverHeld();
+        cluster.loop.run(5);
+        assertFalse(worker.listsTask(JOB_3_TASK), "the late start must be rejected");
+        assertTrue(worker.runningTasks().contains("j-000002/0"), "the task of the other job must still run");
+        cluster.verifyRecovery(250);
+    }
+
+    /** Without responses, the worker cannot accept a higher fencing token, so only its deletion rules the start out. */
+    @Test
+    void machineThatReceivesNothingIsDeletedAfterUnansweredStartCommandOfCancelledJob() {
+        holdStartsOf(JOB_3_TASK);
+        cluster.submit(SimJobs.array(3, 1).put("cpus", 2.0));
+        while (cluster.net.heldCount() == 0) {
+            cluster.loop.run(0.01);
+        }
+        cluster.net.injectFaults((from, to, call) -> {
+            if (from.equals(worker.name())) {
+                return Delivery.RESPONSE_LOST;
+            }
+            return to.equals(SimWorker.address(worker.name())) ? Delivery.HELD : Delivery.DELIVERED;
+        });
+        assertEquals("cancelled", cluster.cancel(cluster.leader(), "j-000003"));
+        cluster.await(
+                () -> !cluster.cloud.machineNames().contains(worker.name()), SimulatedCluster.CANCELLATION_DEADLINE_S);
+        cluster.verifyRecovery(250);
+    }
+
+    /** Holds each direct command to {@code worker} that starts a task with this id prefix. */
+    private void holdStartsOf(String taskIdPrefix) {
+        cluster.net.injectFaults(
+                (from, to, call) -> to.equals(SimWorker.address(worker.name())) && startsTask(call, taskIdPrefix)
+                        ? Delivery.HELD
+                        : Delivery.DELIVERED);
+    }
+
     /** The heartbeats of a worker must not become longer and longer during the term of one leader. */
     @Test
     void exitedAttemptsAreForgottenWithinOneLease() {
