--- a/src/main/java/org/spruceridge/cluster/JobFailures.java
+++ b/src/main/java/org/spruceridge/cluster/JobFailures.java
@@ -7,6 +7,8 @@
 public final class JobFailures {
     private final Job job;
     private final long firstAt;
+    private long lastAt;
+    private int count;
     private boolean confirmed;
 
     JobFailures(Job job, long now) {
@@ -14,11 +16,26 @@
         this.firstAt = now;
     }
 
+    void recordFailure(long now) {
+        lastAt = now;
+        count++;
+    }
+
     /** The time of the first failure. */
     long firstAt() {
         return firstAt;
     }
 
+    /** The time of the latest failure. */
+    public long lastAt() {
+        return lastAt;
+    }
+
+    /** The number of failures. */
+    public int count() {
+        return count;
+    }
+
     /** True once a task of the job has completed after the first failure. The machine is then the cause. */
     boolean isConfirmed() {
         return confirmed;
--- a/src/main/java/org/spruceridge/cluster/Machine.java
+++ b/src/main/java/org/spruceridge/cluster/Machine.java
@@ -230,10 +230,12 @@
      * command that got no response can still arrive.
      */
     public boolean isUnschedulable() {
-        return taskFailures.isCordoned()
-                || reclaim.isAnnounced()
-                || startCommands.hasUncertainStart()
-                || suspicion.isSuspect();
+        return taskFailures.isCordoned() || isBlocked();
+    }
+
+    /** True if tasks must not be placed on the machine for any reason other than a cordon. */
+    public boolean isBlocked() {
+        return reclaim.isAnnounced() || startCommands.hasUncertainStart() || suspicion.isSuspect();
     }
 
     /** The time at which this leader learned of the machine. */
--- a/src/main/java/org/spruceridge/cluster/TaskFailures.java
+++ b/src/main/java/org/spruceridge/cluster/TaskFailures.java
@@ -2,6 +2,7 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -16,7 +17,7 @@
 
     /** Records that a task of the job failed on the machine. */
     public void record(Job job, long now) {
-        failuresByJob.computeIfAbsent(job.id(), id -> new JobFailures(job, now));
+        failuresByJob.computeIfAbsent(job.id(), id -> new JobFailures(job, now)).recordFailure(now);
     }
 
     /** True if no failure is recorded. */
@@ -29,6 +30,19 @@
         return !failuresByJob.isEmpty() && failuresByJob.containsKey(job.id());
     }
 
+    /** The failures of this job's tasks; empty if none is recorded. */
+    public Optional<JobFailures> of(Job job) {
+        return Optional.ofNullable(failuresByJob.get(job.id()));
+    }
+
+    /**
+     * The time of the latest failure that said something new about the machine: the first failure of a job, or the
+     * beginning of the cordon. Meaningful only if the machine is cordoned.
+     */
+    public long lastIndicationAt() {
+        return failuresByJob.values().stream().mapToLong(JobFailures::firstAt).reduce(cordonedSince, Math::max);
+    }
+
     /** Records that a task of the job has completed since the job's failures. The job is then not their cause. */
     public void confirm(Job job) {
         JobFailures failures = failuresByJob.get(job.id());
@@ -65,12 +79,25 @@
         return count;
     }
 
-    /** True if the scheduler places no more tasks on the machine because tasks of several jobs failed on it. */
+    /** True if the scheduler places only trials on the machine because tasks of several jobs failed on it. */
     public boolean isCordoned() {
         return EventTimes.hasHappened(cordonedSince);
     }
 
-    /** Excludes the machine from scheduling until {@link #endCordon}. */
+    /**
+     * True if a task that was bound to the machine at {@code boundAt} must not be started there any more, because the
+     * machine was cordoned afterwards. A task that is bound to a cordoned machine is a trial and may be started.
+     */
+    public boolean forbidsStart(long boundAt) {
+        return isCordoned() && boundAt <= cordonedSince;
+    }
+
+    /** True if a task that was bound to the machine at {@code boundAt} is a trial on a cordoned machine. */
+    public boolean isTrial(long boundAt) {
+        return isCordoned() && boundAt > cordonedSince;
+    }
+
+    /** Excludes the machine from scheduling, except for trials, until {@link #endCordon}. */
     public void cordon(long now) {
         cordonedSince = now;
     }
--- a/src/main/java/org/spruceridge/reconciliation/CommandSelector.java
+++ b/src/main/java/org/spruceridge/reconciliation/CommandSelector.java
@@ -97,7 +97,7 @@
         return binding.stopMode() != Binding.StopMode.NONE
                 || machine.isTerminating()
                 || machine.reclaim().isAnnounced()
-                || machine.taskFailures().isCordoned()
+                || machine.taskFailures().forbidsStart(binding.createdAt())
                 || machine.suspicion().isSuspect();
     }
 
--- a/src/main/java/org/spruceridge/schedule/CycleState.java
+++ b/src/main/java/org/spruceridge/schedule/CycleState.java
@@ -30,6 +30,8 @@
     private final long now;
     private final List<MachineKind> kinds = new ArrayList<>();
     private final List<MachineCapacity> machines = new ArrayList<>();
+    private final List<MachineCapacity> cordonedMachines = new ArrayList<>();
+    private final int schedulableKindCount;
     private final TeamQuotas quotas;
     private final ZoneConstraints zoneConstraints = new ZoneConstraints();
     private final Map<Job, Map<Machine, Integer>> replicaCounts = new HashMap<>();
@@ -45,11 +47,17 @@
         this.now = now;
         this.quotas = new TeamQuotas(cluster, settings);
         Map<MachineKind, Integer> kindIndexes = new HashMap<>();
+        addMachines(machines, false, kindIndexes);
+        this.schedulableKindCount = kinds.size();
+        addMachines(cordonedMachines, true, kindIndexes);
+    }
+
+    private void addMachines(List<MachineCapacity> target, boolean cordoned, Map<MachineKind, Integer> kindIndexes) {
         for (Machine machine : cluster.machines()) {
             MachineType type = cluster.machineTypes().get(machine.type());
-            if (type != null && isSchedulable(machine)) {
+            if (type != null && machine.taskFailures().isCordoned() == cordoned && isUsable(machine)) {
                 int kindIndex = kindIndexes.computeIfAbsent(machine.kind(), this::addKind);
-                machines.add(new MachineCapacity(machine, type, kindIndex));
+                target.add(new MachineCapacity(machine, type, kindIndex));
             }
         }
     }
@@ -59,11 +67,12 @@
         return kinds.size() - 1;
     }
 
-    private boolean isSchedulable(Machine machine) {
+    /** True if the machine is schedulable but for a cordon. */
+    private boolean isUsable(Machine machine) {
         double heartbeatAgeS = Durations.secondsSince(machine.lease().lastHeartbeat(), now);
         return machine.fencing().isFenced()
                 && !machine.isTerminating()
-                && !machine.isUnschedulable()
+                && !machine.isBlocked()
                 && heartbeatAgeS
                         < MAX_HEARTBEAT_AGE_INTERVALS * settings.workers().heartbeatIntervalS();
     }
@@ -73,6 +82,26 @@
         return machines;
     }
 
+    /** The machines that are schedulable but for their cordon, in the cluster's order. */
+    List<MachineCapacity> cordonedMachines() {
+        return cordonedMachines;
+    }
+
+    /** All machines of the cluster. */
+    Iterable<Machine> clusterMachines() {
+        return cluster.machines();
+    }
+
+    /** The boot time of this kind of machine in seconds; 0 while its type is unknown. */
+    double bootS(MachineKind kind) {
+        MachineType type = cluster.machineTypes().get(kind.type());
+        return type == null ? 0 : type.bootS();
+    }
+
+    Settings.Workers workers() {
+        return settings.workers();
+    }
+
     TeamQuotas quotas() {
         return quotas;
     }
@@ -106,7 +135,7 @@
 
     /** Returns the schedulable machines, grouped by the properties that determine their scores. */
     Map<MachineGroup, GroupCapacity> groups() {
-        double[] prices = new double[kinds.size()];
+        double[] prices = new double[schedulableKindCount];
         double highestPrice = 0;
         for (int i = 0; i < prices.length; i++) {
             MachineKind kind = kinds.get(i);
@@ -133,6 +162,16 @@
                 && zoneConstraints.allows(waiting.job(), capacity.machine().zone());
     }
 
+    /**
+     * Returns whether a task of the job is permitted on the machine and has room there, whatever tasks failed on the
+     * machine before.
+     */
+    boolean isEligibleDespiteFailures(WaitingJob waiting, MachineCapacity capacity) {
+        return isPermitted(waiting, capacity)
+                && capacity.fits(waiting.job().spec().taskResources())
+                && zoneConstraints.allows(waiting.job(), capacity.machine().zone());
+    }
+
     /** Returns the number of replicas of a service on a machine, including the placements of this cycle. */
     int countReplicasOn(Machine machine, Job service) {
         return replicaCounts(service).getOrDefault(machine, 0);
@@ -187,9 +226,11 @@
     }
 
     private boolean canRunOn(WaitingJob waiting, MachineCapacity capacity) {
-        return waiting.allows(capacity.kindIndex())
-                && capacity.accepts(waiting.job())
-                && capacity.bindingCount() < maxBindingsPerMachine;
+        return isPermitted(waiting, capacity) && capacity.accepts(waiting.job());
+    }
+
+    private boolean isPermitted(WaitingJob waiting, MachineCapacity capacity) {
+        return waiting.allows(capacity.kindIndex()) && capacity.bindingCount() < maxBindingsPerMachine;
     }
 
     /** Counts one task of the job as placed on the machine. */
--- a/src/main/java/org/spruceridge/schedule/SchedulingCycle.java
+++ b/src/main/java/org/spruceridge/schedule/SchedulingCycle.java
@@ -61,6 +61,7 @@
             }
             placeOnGroup(groups.get(entry.group()), waiting, smallestTask);
         }
+        new TrialPlacements(state).select(waitingJobs.values(), this::place);
         return new Plan(
                 ImmutableList.copyOf(placements),
                 ImmutableList.copyOf(preemption.selectPreemptions(urgentJobs(entries))),
--- a/src/test/java/org/spruceridge/scenario/FailedTaskScenarioTest.java
+++ b/src/test/java/org/spruceridge/scenario/FailedTaskScenarioTest.java
@@ -3,8 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.spruceridge.sim.SimJobs;
+import org.spruceridge.sim.SimWorker;
 import org.spruceridge.sim.SimulatedCluster;
 
 /**
@@ -31,7 +33,8 @@
         assertEquals(2, cluster.cloud.workers().size());
     }
 
-    private static ObjectNode mistakenJob(int number) {
+    /** A job of one task that runs for as long as a task that fails. */
+    private static ObjectNode shortJob(int number) {
         return SimJobs.array(number, 1).put("cpus", 1.0).put("expectS", FAILED_RUN_S);
     }
 
@@ -52,8 +55,8 @@
     @Test
     void cancelledJobsThatFailedOnEveryMachineLeaveNoMachineCordoned() {
         startTwoMachinesWithReplicas();
-        cluster.submitMistaken(mistakenJob(2));
-        cluster.submitMistaken(mistakenJob(3));
+        cluster.submitMistaken(shortJob(2));
+        cluster.submitMistaken(shortJob(3));
         cluster.await(() -> countStarts("j-000002/0") >= 2 && countStarts("j-000003/0") >= 2, 30);
         cluster.loop.run(5);
         assertEquals("cancelled", cluster.cancel("n0", "j-000002"));
@@ -63,4 +66,61 @@
         assertEquals("cancelled", cluster.cancel("n0", "j-000001"));
         cluster.verifyRecovery(250);
     }
+
+    /**
+     * Guards against machines that stay cordoned although they are in order again: both machines were faulty for a
+     * while, they are never idle, and the cloud has no capacity.
+     */
+    @Test
+    void machinesThatAreInOrderAgainGetTasksAgain() {
+        startTwoMachinesWithReplicas();
+        cluster.cloud.setBehaviour(SimWorker.Behaviour.FAILS_NEW_TASKS);
+        cluster.submit(shortJob(2));
+        cluster.submit(shortJob(3));
+        cluster.await(() -> countStarts("j-000002/0") >= 2 && countStarts("j-000003/0") >= 2, 30);
+        cluster.loop.run(2);
+        cluster.cloud.setBehaviour(SimWorker.Behaviour.COMPLETES);
+        cluster.await(() -> cluster.completedTasks().containsAll(List.of("j-000002/0", "j-000003/0")), MAX_WAIT_S);
+        cluster.submit(SimJobs.array(4, 3).put("cpus", 3.0));
+        cluster.await(() -> cluster.poll("j-000004").equals("done"), 30);
+        assertEquals("cancelled", cluster.cancel("n0", "j-000001"));
+        cluster.verifyRecovery(250);
+    }
+
+    /** Guards against a job that waits because of mistaken jobs whose users do not cancel them. */
+    @Test
+    void jobRunsOnCordonedMachineWhileMistakenJobsFailOnEveryMachine() {
+        startTwoMachinesWithReplicas();
+        cluster.submitMistaken(shortJob(2));
+        cluster.submitMistaken(shortJob(3));
+        cluster.await(() -> countStarts("j-000002/0") >= 2 && countStarts("j-000003/0") >= 2, 30);
+        cluster.loop.run(2);
+        for (int number = 4; number < 10; number++) {
+            cluster.submit(SimJobs.array(number, 1).put("cpus", 3.0));
+            String task = SimJobs.id(number) + "/0";
+            cluster.await(() -> cluster.completedTasks().contains(task), MAX_WAIT_S);
+        }
+        for (int number = 1; number < 4; number++) {
+            assertEquals("cancelled", cluster.cancel("n0", SimJobs.id(number)));
+        }
+        cluster.verifyRecovery(250);
+    }
+
+    /** A machine on which every task fails gets no more tasks while another machine can take them. */
+    @Test
+    void faultyMachineGetsNoTasksWhileOtherMachineHasCapacity() {
+        startTwoMachinesWithReplicas();
+        SimWorker faultyWorker = cluster.cloud.workers().get(0);
+        faultyWorker.setBehaviour(SimWorker.Behaviour.FAILS_NEW_TASKS);
+        for (int number = 2; number < 40; number++) {
+            cluster.submit(shortJob(number));
+            cluster.loop.run(4);
+        }
+        long startsOnFaultyMachine = cluster.taskStarts().stream()
+                .filter(start -> !start.startsWith("j-000001/") && start.endsWith("@" + faultyWorker.name()))
+                .count();
+        assertEquals(2, startsOnFaultyMachine, "two failures of different jobs must be enough");
+        assertEquals("cancelled", cluster.cancel("n0", "j-000001"));
+        cluster.verifyRecovery(250);
+    }
 }
--- a/src/test/java/org/spruceridge/sim/SimWorker.java
+++ b/src/test/java/org/spruceridge/sim/SimWorker.java
@@ -84,6 +84,11 @@
         return name;
     }
 
+    /** The zone of the machine. */
+    public String zone() {
+        return zone;
+    }
+
     /** Sets how tasks on this machine end from now on. */
     public void setBehaviour(Behaviour newBehaviour) {
         behaviour = newBehaviour;
