--- a/src/main/java/org/spruceridge/schedule/TrialPlacements.java
+++ b/src/main/java/org/spruceridge/schedule/TrialPlacements.java
@@ -16,9 +16,10 @@
 import org.spruceridge.net.Durations;
 
 /**
- * Places trials: tasks on cordoned machines. A trial is the last resort for a task that no other
+ * Places trials: tasks on machines on which earlier tasks failed. A trial is the last resort for a task that no other
  * machine can take. Its success shows that the machine is in order; its failure delays the next trial. Without trials,
- * a cordoned machine that is never idle could not show that it is in order again.
+ * a cordoned machine that is never idle could not show that it is in order again, and a job that failed on the only
+ * machine that fits would never run.
  */
 final class TrialPlacements {
     /** The usual boot time of a new machine is at most this many nominal boot times. */
@@ -40,7 +41,7 @@
      * about the machine.
      */
     void select(Collection<WaitingJob> waitingJobs, BiConsumer<WaitingJob, MachineCapacity> place) {
-        List<MachineCapacity> machines = state.cordonedMachines();
+        List<MachineCapacity> machines = machinesWithFailures();
         if (machines.isEmpty()) {
             return;
         }
@@ -54,6 +55,18 @@
         }
     }
 
+    /** The machines that are not cordoned come first. */
+    private List<MachineCapacity> machinesWithFailures() {
+        List<MachineCapacity> machines = new ArrayList<>();
+        for (MachineCapacity capacity : state.machines()) {
+            if (!capacity.machine().taskFailures().isEmpty()) {
+                machines.add(capacity);
+            }
+        }
+        machines.addAll(state.cordonedMachines());
+        return machines;
+    }
+
     private void findBootingMachines() {
         for (Machine machine : state.clusterMachines()) {
             double usualBootS = USUAL_BOOTS * state.bootS(machine.kind());
@@ -79,7 +92,9 @@
 
     private boolean isTrialDue(Job job, Machine machine) {
         TaskFailures failures = machine.taskFailures();
-        return failures.isCordoned() && !hasTrial(job, machine) && isDelayOver(job, machine);
+        return (failures.isCordoned() || failures.contains(job))
+                && !hasTrial(job, machine)
+                && isDelayOver(job, machine);
     }
 
     /** A cordoned machine gets one trial at a time; another machine gets one of each job at a time. */
--- a/src/test/java/org/spruceridge/scenario/FailedTaskScenarioTest.java
+++ b/src/test/java/org/spruceridge/scenario/FailedTaskScenarioTest.java
@@ -106,6 +106,21 @@
         cluster.verifyRecovery(250);
     }
 
+    /** Guards against a job that is never tried again on the only machine that fits after a task of it failed there. */
+    @Test
+    void jobIsTriedAgainOnOnlyMachineThatFits() {
+        startTwoMachinesWithReplicas();
+        SimWorker onlyWorker = cluster.cloud.workers().get(0);
+        onlyWorker.setBehaviour(SimWorker.Behaviour.FAILS_NEW_TASKS);
+        cluster.submit(shortJob(2).put("grove", onlyWorker.zone()));
+        cluster.await(() -> countStarts("j-000002/0") == 1, 30);
+        cluster.loop.run(2);
+        onlyWorker.setBehaviour(SimWorker.Behaviour.COMPLETES);
+        cluster.await(() -> cluster.completedTasks().contains("j-000002/0"), MAX_WAIT_S);
+        assertEquals("cancelled", cluster.cancel("n0", "j-000001"));
+        cluster.verifyRecovery(250);
+    }
+
     /** A machine on which every task fails gets no more tasks while another machine can take them. */
     @Test
     void faultyMachineGetsNoTasksWhileOtherMachineHasCapacity() {
--- a/src/test/java/org/spruceridge/schedule/TrialPlacementsTest.java
+++ b/src/test/java/org/spruceridge/schedule/TrialPlacementsTest.java
@@ -137,4 +137,46 @@
         service.add();
         assertEquals(List.of("cordoned"), machineNames(plan()));
     }
+
+    /** Guards against a job that is never tried again on the only machine that fits. */
+    @Test
+    void jobIsTriedAgainOnOnlyMachineThatFits() {
+        Machine only = addMachine("only", "a", false);
+        Job failed = jobOf(2);
+        fail(failed, only, LONG_AGO);
+        assertEquals(List.of("only"), machineNames(plan()));
+    }
+
+    @Test
+    void jobAvoidsMachineOnWhichItFailedWhileOtherMachineHasRoom() {
+        Machine failedMachine = addMachine("failed", "a", false);
+        addMachine("other", "a", false);
+        fail(jobOf(2), failedMachine, LONG_AGO);
+        assertEquals(List.of("other"), machineNames(plan()));
+    }
+
+    @Test
+    void repeatedFailuresOfJobDelayItsNextTrialLonger() {
+        Machine only = addMachine("only", "a", false);
+        Job failed = jobOf(2);
+        fail(failed, only, NOW - Durations.nanos(5));
+        assertEquals(List.of("only"), machineNames(plan()));
+        fail(failed, only, NOW - Durations.nanos(5));
+        assertEquals(List.of(), machineNames(plan()));
+    }
+
+    /** Only one task of the job is at risk until it shows that the machine is in order. */
+    @Test
+    void jobGetsOneTrialAtTimeOnMachineOnWhichItFailed() {
+        Machine only = addMachine("only", "a", false);
+        JobBuilder array = job();
+        array.cpus = 1;
+        array.tasks = 4;
+        Job failed = array.add();
+        bindRunning(failed, 3, only);
+        fail(failed, only, NOW);
+        long later = NOW + Durations.nanos(6);
+        only.recordHeartbeat(1, 2, "", later);
+        assertEquals(1, matching.plan(cluster, later, WALL_MS).placements().size());
+    }
 }
