--- a/src/main/java/org/spruceridge/cluster/JobFailures.java
+++ b/src/main/java/org/spruceridge/cluster/JobFailures.java
@@ -9,6 +9,7 @@
     private final long firstAt;
     private long lastAt;
     private int count;
+    private double longestRunS;
     private boolean confirmed;
 
     JobFailures(Job job, long now) {
@@ -16,7 +17,8 @@
         this.firstAt = now;
     }
 
-    void recordFailure(long now) {
+    void recordFailure(double runS, long now) {
+        longestRunS = Math.max(longestRunS, runS);
         lastAt = now;
         count++;
     }
@@ -31,6 +33,11 @@
         return lastAt;
     }
 
+    /** The longest time for which a task that failed was seen running, in seconds. */
+    double longestRunS() {
+        return longestRunS;
+    }
+
     /** The number of failures. */
     public int count() {
         return count;
--- a/src/main/java/org/spruceridge/cluster/TaskFailures.java
+++ b/src/main/java/org/spruceridge/cluster/TaskFailures.java
@@ -15,9 +15,9 @@
 
     TaskFailures() {}
 
-    /** Records that a task of the job failed on the machine. */
-    public void record(Job job, long now) {
-        failuresByJob.computeIfAbsent(job.id(), id -> new JobFailures(job, now)).recordFailure(now);
+    /** Records that a task of the job failed on the machine, after it was seen running for {@code runS} seconds. */
+    public void record(Job job, double runS, long now) {
+        failuresByJob.computeIfAbsent(job.id(), id -> new JobFailures(job, now)).recordFailure(runS, now);
     }
 
     /** True if no failure is recorded. */
@@ -65,6 +65,14 @@
         failuresByJob.values().removeIf(failures -> failures.firstAt() < boundAt);
     }
 
+    /** The longest time for which a task that failed was seen running, in seconds; 0 if no failure is recorded. */
+    public double longestRunS() {
+        return failuresByJob.values().stream()
+                .mapToDouble(JobFailures::longestRunS)
+                .max()
+                .orElse(0);
+    }
+
     /** The ids of the jobs whose tasks failed, in the order of their first failures. */
     public Set<String> jobIds() {
         return failuresByJob.keySet();
--- a/src/main/java/org/spruceridge/reconciliation/BindingReconciler.java
+++ b/src/main/java/org/spruceridge/reconciliation/BindingReconciler.java
@@ -100,6 +100,7 @@
             case RUNNING -> {
                 logStart(binding, now);
                 binding.recordPhase(Binding.Phase.RUNNING, now);
+                failureTracker.recordRunning(binding, now);
             }
             case CHECKPOINTING -> binding.recordPhase(Binding.Phase.CHECKPOINTING, now);
             case EXITED -> applyExit(binding, status.cause(), now);
--- a/src/main/java/org/spruceridge/reconciliation/FailureTracker.java
+++ b/src/main/java/org/spruceridge/reconciliation/FailureTracker.java
@@ -9,6 +9,7 @@
 import org.spruceridge.cluster.Cluster;
 import org.spruceridge.cluster.Job;
 import org.spruceridge.cluster.Machine;
+import org.spruceridge.cluster.TaskFailures;
 import org.spruceridge.config.Settings;
 import org.spruceridge.net.Durations;
 import org.spruceridge.term.LeaderContext;
@@ -29,6 +30,12 @@
 
     private static final int MAX_BACKOFF_DOUBLINGS = 16;
 
+    /** A task runs stably once it has run for this many times as long as the tasks that failed on its machine. */
+    private static final double STABLE_RUN_IN_FAILED_RUNS = 2;
+
+    /** The maximum time until a task counts as running stably. No job is to wait for 90 s for a machine with room. */
+    private static final double MAX_STABLE_RUN_S = 45;
+
     private final Cluster cluster;
     private final Settings.Workers workers;
     private final MachineCordons cordons;
@@ -49,12 +56,37 @@
         if (job.spec().isService()) {
             recordReplicaExit(binding, elapsedS, now);
         } else if (cause == ExitCause.ERROR) {
-            recordFailure(job, binding.machine(), now);
+            recordFailure(job, binding.machine(), elapsedS, now);
         } else {
             recordSuccess(binding, "task-completed", now);
         }
     }
 
+    /**
+     * Records that a heartbeat lists the task as running. A task that runs for longer than the tasks that failed refutes
+     * earlier failures on its machine, before it ends. A replica that runs for a lease counts as a success.
+     */
+    void recordRunning(Binding binding, long now) {
+        Job job = binding.job();
+        TaskFailures failures = binding.machine().taskFailures();
+        if (failures.isEmpty()
+                && (!job.spec().isService() || job.failedMachines().isEmpty())) {
+            return;
+        }
+        double runS = binding.runTimeS(now);
+        if (job.spec().isService() && runS >= workers.leaseS()) {
+            recordSuccess(binding, "replica-runs-stably", now);
+        } else if (runS >= stableRunS(failures)) {
+            failures.refuteBefore(binding.createdAt());
+            cordons.update(binding.machine(), "task-runs-stably", now);
+        }
+    }
+
+    private double stableRunS(TaskFailures failures) {
+        double minRunS = Math.min(STABLE_RUN_IN_FAILED_RUNS * failures.longestRunS(), MAX_STABLE_RUN_S);
+        return Math.max(minRunS, workers.leaseS());
+    }
+
     /** Records that a worker refused to start a task of the job. */
     void recordRefusedStart(Job job, long now) {
         delayRetry(job, workers.heartbeatIntervalS(), now);
@@ -75,13 +107,13 @@
      * Failures of several jobs on one machine indicate a faulty machine. Failures of one job on many machines indicate
      * a faulty job, and then no faulty machine.
      */
-    private void recordFailure(Job job, Machine machine, long now) {
+    private void recordFailure(Job job, Machine machine, double elapsedS, long now) {
         LOG.info("task failed job={} machine={}", job.id(), machine.name());
         if (job.isCancelled()) {
             return;
         }
         job.failedMachines().add(machine.name());
-        machine.taskFailures().record(job, now);
+        machine.taskFailures().record(job, elapsedS, now);
         cordons.update(machine, "task-failures", now);
         if (job.failsOnManyMachines()) {
             failedMachines(job).forEach(failed -> cordons.update(failed, "job-fails-on-many-machines", now));
@@ -122,10 +154,10 @@
         Job job = binding.job();
         if (elapsedS >= workers.leaseS()) {
             job.resetEarlyExits();
-            recordSuccess(binding, "replica-ran-stably", now);
+            recordSuccess(binding, "replica-runs-stably", now);
             return;
         }
-        recordFailure(job, binding.machine(), now);
+        recordFailure(job, binding.machine(), elapsedS, now);
         job.countEarlyExit(now, Durations.nanos(EARLY_EXIT_WINDOW_IN_CANCEL_TIMES * workers.cancelS()));
         int excessExits = job.earlyExits() - job.spec().taskCount();
         if (excessExits > 0) {
--- a/src/main/java/org/spruceridge/schedule/TrialPlacements.java
+++ b/src/main/java/org/spruceridge/schedule/TrialPlacements.java
@@ -26,7 +26,7 @@
     private static final double USUAL_BOOTS = 1.5;
 
     /** The maximum delay of a trial. No job is to wait for 90 s while a machine that fits has room. */
-    private static final double MAX_DELAY_S = 45;
+    private static final double MAX_DELAY_S = 30;
 
     private final CycleState state;
     private final List<Machine> bootingMachines = new ArrayList<>();
--- a/src/test/java/org/spruceridge/reconciliation/FailureTrackerTest.java
+++ b/src/test/java/org/spruceridge/reconciliation/FailureTrackerTest.java
@@ -24,6 +24,8 @@
 final class FailureTrackerTest {
     private static final double FAILED_RUN_S = 0.5;
     private static final double LONG_RUN_S = 100;
+    /** The lease of {@link Fixtures#fleetSettings}. */
+    private static final double LEASE_S = 22;
 
     private final LeaderContext context = Fixtures.fleetLeaderContext(new SimLoop(), new LeaderTerm(7, 1, 0));
     private final Cluster cluster = context.cluster();
@@ -178,6 +180,53 @@
         assertCordonEnded();
     }
 
+    private void observeRunning(Binding binding, double runS) {
+        now += Durations.nanos(runS);
+        tracker.recordRunning(binding, now);
+    }
+
+    /** A machine whose tasks run for hours must not stay cordoned until the first of them ends. */
+    @Test
+    void taskThatStartedAfterFailuresEndsCordonOnceItRunsStably() {
+        cordonMachine();
+        Binding running = bind(addJob(3, JobKind.ARRAY), machine);
+        observeRunning(running, LEASE_S - 1);
+        assertTrue(machine.isUnschedulable());
+        observeRunning(running, 1);
+        assertCordonEnded();
+    }
+
+    @Test
+    void taskRunsStablyOnlyOnceItHasRunLongerThanTasksThatFailed() {
+        exit(bind(firstJob, machine), ExitCause.ERROR, 20);
+        exit(bind(secondJob, machine), ExitCause.ERROR, 5);
+        Binding running = bind(addJob(3, JobKind.ARRAY), machine);
+        observeRunning(running, LEASE_S);
+        assertTrue(machine.isUnschedulable());
+        observeRunning(running, 40 - LEASE_S);
+        assertCordonEnded();
+    }
+
+    @Test
+    void taskThatStartedBeforeFailuresKeepsCordonWhileItRuns() {
+        Binding earlier = bind(addJob(3, JobKind.ARRAY), machine);
+        cordonMachine();
+        observeRunning(earlier, LONG_RUN_S);
+        assertTrue(machine.isUnschedulable());
+    }
+
+    /** The failures of the service are then the fault of the machine, although the replica has not ended. */
+    @Test
+    void replicaThatRunsForLeaseConfirmsFailuresOnOtherMachine() {
+        Job service = addJob(3, JobKind.SERVICE);
+        exit(bind(service, machine), ExitCause.ERROR, FAILED_RUN_S);
+        observeRunning(bind(service, addMachine("i-2")), LEASE_S);
+        assertTrue(service.failedMachines().isEmpty());
+        cancel(service);
+        fail(firstJob, machine);
+        assertTrue(machine.isUnschedulable());
+    }
+
     @Test
     void earlyExitsOfReplicasOfTwoServicesCordonMachine() {
         fail(addJob(3, JobKind.SERVICE), machine);
--- a/src/test/java/org/spruceridge/scenario/FailedTaskScenarioTest.java
+++ b/src/test/java/org/spruceridge/scenario/FailedTaskScenarioTest.java
@@ -87,6 +87,23 @@
         cluster.verifyRecovery(250);
     }
 
+    /** Guards against the same wait if the tasks that are tried first run for longer than other jobs may wait. */
+    @Test
+    void machinesThatAreInOrderAgainGetTasksWhileLongTasksRun() {
+        startTwoMachinesWithReplicas();
+        cluster.cloud.setBehaviour(SimWorker.Behaviour.FAILS_NEW_TASKS);
+        cluster.submit(shortJob(2));
+        cluster.submit(shortJob(3));
+        cluster.await(() -> countStarts("j-000002/0") >= 2 && countStarts("j-000003/0") >= 2, 30);
+        cluster.loop.run(2);
+        cluster.submit(SimJobs.array(4, 2).put("cpus", 1.0).put("expectS", 200.0));
+        cluster.cloud.setBehaviour(SimWorker.Behaviour.COMPLETES);
+        cluster.await(() -> countStarts("j-000004/0") == 1 && countStarts("j-000004/1") == 1, MAX_WAIT_S);
+        cluster.await(() -> cluster.completedTasks().containsAll(List.of("j-000002/0", "j-000003/0")), MAX_WAIT_S);
+        assertEquals("cancelled", cluster.cancel("n0", "j-000001"));
+        cluster.verifyRecovery(250);
+    }
+
     /** Guards against a job that waits because of mistaken jobs whose users do not cancel them. */
     @Test
     void jobRunsOnCordonedMachineWhileMistakenJobsFailOnEveryMachine() {
--- a/src/test/java/org/spruceridge/schedule/TrialPlacementsTest.java
+++ b/src/test/java/org/spruceridge/schedule/TrialPlacementsTest.java
@@ -25,8 +25,8 @@
     /** A machine that was cordoned at {@code since}, when a task of the second of two jobs failed on it. */
     private Machine addCordonedMachine(String name, long since) {
         Machine machine = addMachine(name, "a", false);
-        machine.taskFailures().record(doneJob(), since);
-        machine.taskFailures().record(doneJob(), since);
+        machine.taskFailures().record(doneJob(), 0, since);
+        machine.taskFailures().record(doneJob(), 0, since);
         machine.taskFailures().cordon(since);
         return machine;
     }
@@ -39,7 +39,7 @@
 
     private void fail(Job job, Machine machine, long at) {
         job.failedMachines().add(machine.name());
-        machine.taskFailures().record(job, at);
+        machine.taskFailures().record(job, 0, at);
     }
 
     @Test
