--- a/src/main/java/org/spruceridge/autoscaling/Autoscaler.java
+++ b/src/main/java/org/spruceridge/autoscaling/Autoscaler.java
@@ -132,7 +132,7 @@
         }
         long now = loop.nanos();
         Set<Machine> neededMachines = scaleOut.run(plan.get(), now, loop.wallMillis());
-        scaleIn.run(neededMachines, now);
+        scaleIn.run(plan.get(), neededMachines, now);
     }
 
     /**
--- a/src/main/java/org/spruceridge/autoscaling/ScaleInCycle.java
+++ b/src/main/java/org/spruceridge/autoscaling/ScaleInCycle.java
@@ -5,11 +5,14 @@
 import java.util.Set;
 import org.spruceridge.cluster.Binding;
 import org.spruceridge.cluster.Cluster;
+import org.spruceridge.cluster.JobSpec;
 import org.spruceridge.cluster.Machine;
 import org.spruceridge.cluster.MachineType;
+import org.spruceridge.cluster.TaskFailures;
 import org.spruceridge.config.Policy;
 import org.spruceridge.config.Settings;
 import org.spruceridge.net.Durations;
+import org.spruceridge.schedule.Plan;
 import org.spruceridge.term.LeaderContext;
 
 /**
@@ -21,6 +24,9 @@
      */
     private static final double MIN_BILLED_S = 60;
 
+    /** A cordoned machine is faulty beyond doubt once tasks of this many jobs failed there and then completed. */
+    private static final int FAILED_JOBS_BEFORE_DELETION = 2;
+
     private final Cluster cluster;
     private final Settings settings;
     private final Policy policy;
@@ -39,10 +45,12 @@
      * Deletes unusable machines, and idle machines that are not in {@code neededMachines}. The capacity of the needed
      * machines is reserved for unplaced tasks or as warm capacity.
      */
-    void run(Set<Machine> neededMachines, long now) {
+    void run(Plan plan, Set<Machine> neededMachines, long now) {
         List<Machine> machinesToDelete = new ArrayList<>();
         for (Machine machine : cluster.machines()) {
-            if (canBeDeleted(machine, now) && (isUnusable(machine, now) || isSurplus(machine, neededMachines, now))) {
+            if (canBeDeleted(machine, now)
+                    && !isLastResort(machine, plan)
+                    && (isUnusable(machine, now) || isSurplus(machine, neededMachines, now))) {
                 machinesToDelete.add(machine);
             }
         }
@@ -59,7 +67,41 @@
     private boolean isUnusable(Machine machine, long now) {
         boolean isUnanswered =
                 machine.suspicion().isSuspect() || machine.startCommands().hasUncertainStart();
-        return machine.isUnschedulable() && !(isUnanswered && isBeingProbed(machine, now));
+        return machine.isUnschedulable()
+                && !isPossiblyInOrder(machine)
+                && !(isUnanswered && isBeingProbed(machine, now));
+    }
+
+    /**
+     * True if the machine is cordoned, but the jobs whose tasks failed on it can be the cause, and no other machine boots
+     * in its place. Such a machine is deleted only as surplus.
+     */
+    private boolean isPossiblyInOrder(Machine machine) {
+        TaskFailures failures = machine.taskFailures();
+        return failures.isCordoned()
+                && !machine.isBlocked()
+                && !failures.isConfirmedBy(FAILED_JOBS_BEFORE_DELETION)
+                && !isReplacementBooting(machine);
+    }
+
+    /**
+     * True if the machine is possibly in order, and a task that fits nowhere else fits on it. The task can be a trial
+     * there, which can show that the machine is in order.
+     */
+    private boolean isLastResort(Machine machine, Plan plan) {
+        return isPossiblyInOrder(machine)
+                && plan.unplacedTaskCounts().keySet().stream().anyMatch(job -> fits(job.spec(), machine));
+    }
+
+    private boolean isReplacementBooting(Machine machine) {
+        return cluster.machines().stream()
+                .anyMatch(other -> !other.hasReported()
+                        && other.launchedAt() >= machine.taskFailures().cordonedSince());
+    }
+
+    private boolean fits(JobSpec spec, Machine machine) {
+        return spec.allows(machine.type(), machine.zone(), machine.isSpot())
+                && spec.taskResources().fitsIn(cluster.freeCapacity(machine));
     }
 
     private boolean isSurplus(Machine machine, Set<Machine> neededMachines, long now) {
--- a/src/main/java/org/spruceridge/cluster/TaskFailures.java
+++ b/src/main/java/org/spruceridge/cluster/TaskFailures.java
@@ -87,6 +87,16 @@
         return count;
     }
 
+    /** True if the failures of at least {@code jobCount} jobs are confirmed: a task of each has completed since. */
+    public boolean isConfirmedBy(int jobCount) {
+        return failuresByJob.values().stream().filter(JobFailures::isConfirmed).count() >= jobCount;
+    }
+
+    /** The time of the beginning of the cordon. Meaningful only if the machine is cordoned. */
+    public long cordonedSince() {
+        return cordonedSince;
+    }
+
     /** True if the scheduler places only trials on the machine because tasks of several jobs failed on it. */
     public boolean isCordoned() {
         return EventTimes.hasHappened(cordonedSince);
--- a/src/test/java/org/spruceridge/scenario/FailedTaskScenarioTest.java
+++ b/src/test/java/org/spruceridge/scenario/FailedTaskScenarioTest.java
@@ -104,6 +104,27 @@
         cluster.verifyRecovery(250);
     }
 
+    /**
+     * Guards against the loss of all machines to two mistaken jobs: the machines are idle, and the cloud would not
+     * replace them.
+     */
+    @Test
+    void idleMachineOnWhichMistakenJobsFailIsKeptWhileNothingReplacesIt() {
+        cluster.awaitLeader(10);
+        cluster.submit(SimJobs.array(1, 2).put("cpus", 8.0));
+        cluster.await(() -> cluster.poll("j-000001").equals("done"), 40);
+        cluster.cloud.limitCapacity(0);
+        cluster.submitMistaken(shortJob(2));
+        cluster.submitMistaken(shortJob(3));
+        cluster.await(() -> countStarts("j-000002/0") >= 2 && countStarts("j-000003/0") >= 2, 30);
+        cluster.loop.run(10);
+        assertEquals("cancelled", cluster.cancel("n0", "j-000002"));
+        assertEquals("cancelled", cluster.cancel("n1", "j-000003"));
+        cluster.submit(SimJobs.array(4, 1));
+        cluster.await(() -> cluster.completedTasks().contains("j-000004/0"), MAX_WAIT_S);
+        cluster.verifyRecovery(250);
+    }
+
     /** Guards against a job that waits because of mistaken jobs whose users do not cancel them. */
     @Test
     void jobRunsOnCordonedMachineWhileMistakenJobsFailOnEveryMachine() {
