--- a/src/main/java/org/spruceridge/cluster/Job.java
+++ b/src/main/java/org/spruceridge/cluster/Job.java
@@ -215,6 +215,11 @@
         retryAfter = retryAfterNanos;
     }
 
+    /** Makes the tasks of the job placeable again at once. */
+    public void endRetryDelay() {
+        retryAfter = Long.MIN_VALUE;
+    }
+
     /** The deadline in milliseconds since the epoch; infinite if the job has no deadline or is a service. */
     public double deadlineMs() {
         return spec.deadlineS().isPresent() && !spec.isService()
--- a/src/main/java/org/spruceridge/reconciliation/FailureTracker.java
+++ b/src/main/java/org/spruceridge/reconciliation/FailureTracker.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Objects;
-import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.spruceridge.cluster.Binding;
@@ -12,7 +11,6 @@
 import org.spruceridge.cluster.TaskFailures;
 import org.spruceridge.config.Settings;
 import org.spruceridge.net.Durations;
-import org.spruceridge.term.LeaderContext;
 import org.spruceridge.worker.WorkerHeartbeat.ExitCause;
 
 /**
@@ -24,12 +22,15 @@
 
     /**
      * The count of consecutive early exits of replicas restarts if the previous early exit is more than this many
-     * cancellation times ago. The cancellation time is also the maximum backoff.
+     * cancellation times ago.
      */
     private static final double EARLY_EXIT_WINDOW_IN_CANCEL_TIMES = 2;
 
     private static final int MAX_BACKOFF_DOUBLINGS = 16;
 
+    /** The maximum backoff. No job is to wait for 90 s while a machine that fits has room. */
+    private static final double MAX_BACKOFF_S = 60;
+
     /** A task runs stably once it has run for this many times as long as the tasks that failed on its machine. */
     private static final double STABLE_RUN_IN_FAILED_RUNS = 2;
 
@@ -40,11 +41,10 @@
     private final Settings.Workers workers;
     private final MachineCordons cordons;
 
-    /** {@code onMachineAvailable} is called for each machine whose cordon has ended. */
-    FailureTracker(LeaderContext context, Consumer<Machine> onMachineAvailable) {
-        this.cluster = context.cluster();
-        this.workers = context.settings().workers();
-        this.cordons = new MachineCordons(onMachineAvailable);
+    FailureTracker(Cluster cluster, Settings.Workers workers, MachineCordons cordons) {
+        this.cluster = cluster;
+        this.workers = workers;
+        this.cordons = cordons;
     }
 
     /**
@@ -130,6 +130,7 @@
         Machine machine = binding.machine();
         machine.taskFailures().refuteBefore(binding.createdAt());
         cordons.update(machine, reason, now);
+        job.endRetryDelay();
         List<Machine> failedMachines = failedMachines(job);
         job.failedMachines().clear();
         for (Machine failed : failedMachines) {
@@ -166,12 +167,12 @@
     }
 
     /**
-     * Delays the retry by the heartbeat interval, doubled {@code doublings} times. The configured cancellation time is
-     * the maximum delay.
+     * Delays the retry by the heartbeat interval, doubled {@code doublings} times. The maximum delay is the configured
+     * cancellation time, but at most {@link #MAX_BACKOFF_S}.
      */
     private void backOff(Job job, int doublings, long now) {
         double backoffS = workers.heartbeatIntervalS() * Math.pow(2, doublings);
-        delayRetry(job, Math.min(backoffS, workers.cancelS()), now);
+        delayRetry(job, Math.min(backoffS, Math.min(workers.cancelS(), MAX_BACKOFF_S)), now);
     }
 
     private static void delayRetry(Job job, double delayS, long now) {
--- a/src/main/java/org/spruceridge/reconciliation/HeartbeatHandler.java
+++ b/src/main/java/org/spruceridge/reconciliation/HeartbeatHandler.java
@@ -51,7 +51,8 @@
         this.loop = context.loop();
         this.cluster = context.cluster();
         this.admission = new HeartbeatAdmission(context, fencingTokens);
-        this.failureTracker = new FailureTracker(context, onMachineAvailable);
+        this.failureTracker = new FailureTracker(
+                context.cluster(), context.settings().workers(), new MachineCordons(onMachineAvailable));
         this.bindingReconciler =
                 new BindingReconciler(context, recordWriter, failureTracker, orphanBindings, onMachineAvailable);
         this.commandSelector = new CommandSelector(context, orphanBindings);
--- a/src/test/java/org/spruceridge/reconciliation/FailureTrackerTest.java
+++ b/src/test/java/org/spruceridge/reconciliation/FailureTrackerTest.java
@@ -13,6 +13,7 @@
 import org.spruceridge.cluster.JobKind;
 import org.spruceridge.cluster.Machine;
 import org.spruceridge.cluster.MachineKind;
+import org.spruceridge.config.Settings;
 import org.spruceridge.net.Durations;
 import org.spruceridge.sim.Fixtures;
 import org.spruceridge.sim.SimLoop;
@@ -30,7 +31,8 @@
     private final LeaderContext context = Fixtures.fleetLeaderContext(new SimLoop(), new LeaderTerm(7, 1, 0));
     private final Cluster cluster = context.cluster();
     private final List<Machine> availableMachines = new ArrayList<>();
-    private final FailureTracker tracker = new FailureTracker(context, availableMachines::add);
+    private final FailureTracker tracker =
+            new FailureTracker(cluster, context.settings().workers(), new MachineCordons(availableMachines::add));
     private final Machine machine = addMachine("i-1");
     private final Job firstJob = addJob(1, JobKind.ARRAY);
     private final Job secondJob = addJob(2, JobKind.ARRAY);
@@ -180,6 +182,30 @@
         assertCordonEnded();
     }
 
+    /** Guards against a job that waits on account of failures that another of its tasks has refuted. */
+    @Test
+    void successOfTaskEndsRetryDelayOfItsJob() {
+        Binding running = bind(firstJob, addMachine("i-5"));
+        for (int i = 2; i < 5; i++) {
+            fail(firstJob, addMachine("i-" + i));
+        }
+        assertTrue(firstJob.retryAfter() > now);
+        exit(running, ExitCause.DONE, 1);
+        assertTrue(firstJob.retryAfter() <= now);
+    }
+
+    /** However long the cancellation time is, the retry delay of a job stays below the users' limit of 90 s. */
+    @Test
+    void retryDelayIsAtMostOneMinute() {
+        FailureTracker slowTracker =
+                new FailureTracker(cluster, new Settings.Workers(5, 22, 600), new MachineCordons(m -> {}));
+        for (int i = 2; i < 20; i++) {
+            Binding binding = bind(firstJob, addMachine("i-" + i));
+            slowTracker.recordExit(binding, ExitCause.ERROR, 0, now);
+        }
+        assertEquals(60, Durations.secondsSince(now, firstJob.retryAfter()));
+    }
+
     private void observeRunning(Binding binding, double runS) {
         now += Durations.nanos(runS);
         tracker.recordRunning(binding, now);
