--- a/src/main/java/org/spruceridge/dispatch/CommandSender.java
+++ b/src/main/java/org/spruceridge/dispatch/CommandSender.java
@@ -6,6 +6,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.spruceridge.cluster.Binding;
+import org.spruceridge.cluster.Cluster;
 import org.spruceridge.cluster.Machine;
 import org.spruceridge.config.Address;
 import org.spruceridge.net.CancellationScope;
@@ -39,6 +40,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(CommandSender.class);
 
     private final Loop loop;
+    private final Cluster cluster;
     private final CancellationScope scope;
     private final FencingTokens fencingTokens;
     private final WorkerClient workers;
@@ -48,6 +50,8 @@
     private final long timeoutNanos;
     /** Machines to which a request is in flight. */
     private final Set<Machine> machinesAwaitingResponse = new HashSet<>();
+    /** Suspect machines to which the next probe is scheduled. */
+    private final Set<Machine> machinesWithScheduledProbe = new HashSet<>();
     /** Machines whose due commands are sent after the request in flight has completed. */
     private final Set<Machine> machinesWithDeferredCommands = new HashSet<>();
 
@@ -62,6 +66,7 @@
             HeartbeatHandler heartbeatHandler,
             Runnable onRequestCompleted) {
         this.loop = context.loop();
+        this.cluster = context.cluster();
         this.scope = context.scope();
         this.fencingTokens = fencingTokens;
         this.workers = workers;
@@ -71,10 +76,27 @@
         this.timeoutNanos = Durations.nanos(context.settings().workers().leaseS() / 4);
     }
 
-    /** Sends a request without commands to a suspect machine. A response shows that commands reach the machine. */
+    /**
+     * Sends requests without commands to a machine, one after another, until the machine is no longer suspect. A response
+     * shows that commands reach the machine. Sends nothing while the leader lease is possibly expired.
+     */
     public void probe(Machine machine) {
+        if (!machine.suspicion().isSuspect() || machine.isTerminating() || cluster.machine(machine.name()) != machine) {
+            return;
+        }
         if (isLeader.getAsBoolean()) {
             send(machine, CommandBatch.PROBE);
+        } else {
+            scheduleProbe(machine);
+        }
+    }
+
+    private void scheduleProbe(Machine machine) {
+        if (machinesWithScheduledProbe.add(machine)) {
+            scope.after(timeoutNanos, () -> {
+                machinesWithScheduledProbe.remove(machine);
+                probe(machine);
+            });
         }
     }
 
@@ -121,8 +143,8 @@
         retryStops(machine, batch, result);
         if (result.heartbeat().isPresent()) {
             machine.suspicion().recordAcknowledgement();
-        } else if (machine.suspicion().isSuspect() && !machine.isTerminating()) {
-            scope.after(timeoutNanos, () -> probe(machine));
+        } else if (machine.suspicion().isSuspect()) {
+            scheduleProbe(machine);
         }
         result.heartbeat().ifPresent(heartbeatHandler::handleCommandResponse);
         if (machinesWithDeferredCommands.remove(machine)) {
