--- a/src/main/java/org/spruceridge/cluster/Job.java
+++ b/src/main/java/org/spruceridge/cluster/Job.java
@@ -18,6 +18,8 @@
     private final BitSet doneOrBound = new BitSet();
     private final Int2ObjectHashMap<Binding> bindings = new Int2ObjectHashMap<>();
     private final Set<String> failedMachines = new HashSet<>();
+    private boolean failed;
+    private double longestFailedRunS;
     private long cancelledAt = EventTimes.NOT_HAPPENED;
     private long cancellationLearnedAt = EventTimes.NOT_HAPPENED;
     private long retryAfter = Long.MIN_VALUE;
@@ -190,13 +192,40 @@
     }
 
     /**
-     * The names of the machines on which tasks of this job have failed since a task of the job last completed or, for a
-     * service, since a replica last ran for a long time. Callers change the set directly.
+     * The names of the machines on which tasks of this job have failed since a task of the job last completed or ran for
+     * longer than those that failed. Callers clear the set directly.
      */
     public Set<String> failedMachines() {
         return failedMachines;
     }
 
+    /** Records that a task of this job failed on a machine, after it was seen running for {@code runS} seconds. */
+    public void recordFailure(Machine machine, double runS) {
+        failed = true;
+        failedMachines.add(machine.name());
+        longestFailedRunS = Math.max(longestFailedRunS, runS);
+    }
+
+    /** True if a task of this job has failed in this term. */
+    public boolean hasFailed() {
+        return failed;
+    }
+
+    /** The longest time for which a task of this job was seen running before it failed, in seconds. */
+    public double longestFailedRunS() {
+        return longestFailedRunS;
+    }
+
+    /** True if a task of this job has been running for at least {@code runS} seconds. */
+    public boolean hasTaskRunningFor(double runS, long now) {
+        for (Binding binding : bindings.values()) {
+            if (binding.phase() == Binding.Phase.RUNNING && binding.runTimeS(now) >= runS) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /**
      * True if tasks of this job failed on several machines. The job is then the likely cause of the failures. For a
      * service with running replicas, the machines are the likely cause instead, and the result is false.
--- a/src/main/java/org/spruceridge/reconciliation/FailureTracker.java
+++ b/src/main/java/org/spruceridge/reconciliation/FailureTracker.java
@@ -1,7 +1,6 @@
 package org.spruceridge.reconciliation;
 
 import java.util.List;
-import java.util.Objects;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.spruceridge.cluster.Binding;
@@ -34,6 +33,9 @@
     /** A task runs stably once it has run for this many times as long as the tasks that failed on its machine. */
     private static final double STABLE_RUN_IN_FAILED_RUNS = 2;
 
+    /** A task whose run is shorter than this many heartbeat intervals shows nothing about its job. */
+    private static final double MIN_HEALTHY_RUN_HEARTBEATS = 2;
+
     /** The maximum time until a task counts as running stably. No job is to wait for 90 s for a machine with room. */
     private static final double MAX_STABLE_RUN_S = 45;
 
@@ -69,11 +71,13 @@
     void recordRunning(Binding binding, long now) {
         Job job = binding.job();
         TaskFailures failures = binding.machine().taskFailures();
-        if (failures.isEmpty()
-                && (!job.spec().isService() || job.failedMachines().isEmpty())) {
+        if (failures.isEmpty() && job.failedMachines().isEmpty()) {
             return;
         }
         double runS = binding.runTimeS(now);
+        if (!job.failedMachines().isEmpty() && runS >= healthyRunS(job)) {
+            clearJob(job, now);
+        }
         if (job.spec().isService() && runS >= workers.leaseS()) {
             recordSuccess(binding, "replica-runs-stably", now);
         } else if (runS >= stableRunS(failures)) {
@@ -82,6 +86,23 @@
         }
     }
 
+    /**
+     * The run time from which a task shows that its job is in order, in seconds. A job with a mistake fails on every
+     * machine, so none of its tasks runs for longer than those that failed.
+     */
+    private double healthyRunS(Job job) {
+        return Math.max(
+                MIN_HEALTHY_RUN_HEARTBEATS * workers.heartbeatIntervalS(),
+                STABLE_RUN_IN_FAILED_RUNS * job.longestFailedRunS());
+    }
+
+    /** Records that the job is not the cause of its failures: each of them indicates a faulty machine again. */
+    private void clearJob(Job job, long now) {
+        job.failedMachines().clear();
+        job.endRetryDelay();
+        failedMachines(job).forEach(failed -> cordons.update(failed, "job-runs-on-other-machine", now));
+    }
+
     private double stableRunS(TaskFailures failures) {
         double minRunS = Math.min(STABLE_RUN_IN_FAILED_RUNS * failures.longestRunS(), MAX_STABLE_RUN_S);
         return Math.max(minRunS, workers.leaseS());
@@ -112,8 +133,11 @@
         if (job.isCancelled()) {
             return;
         }
-        job.failedMachines().add(machine.name());
+        job.recordFailure(machine, elapsedS);
         machine.taskFailures().record(job, elapsedS, now);
+        if (job.hasTaskRunningFor(healthyRunS(job), now)) {
+            clearJob(job, now);
+        }
         cordons.update(machine, "task-failures", now);
         if (job.failsOnManyMachines()) {
             failedMachines(job).forEach(failed -> cordons.update(failed, "job-fails-on-many-machines", now));
@@ -131,18 +155,19 @@
         machine.taskFailures().refuteBefore(binding.createdAt());
         cordons.update(machine, reason, now);
         job.endRetryDelay();
-        List<Machine> failedMachines = failedMachines(job);
         job.failedMachines().clear();
-        for (Machine failed : failedMachines) {
+        for (Machine failed : failedMachines(job)) {
             failed.taskFailures().confirm(job);
             cordons.update(failed, "job-succeeded-on-other-machine", now);
         }
     }
 
     private List<Machine> failedMachines(Job job) {
-        return job.failedMachines().stream()
-                .map(cluster::machine)
-                .filter(Objects::nonNull)
+        if (!job.hasFailed()) {
+            return List.of();
+        }
+        return cluster.machines().stream()
+                .filter(machine -> machine.taskFailures().contains(job))
                 .toList();
     }
 
--- a/src/test/java/org/spruceridge/reconciliation/FailureTrackerTest.java
+++ b/src/test/java/org/spruceridge/reconciliation/FailureTrackerTest.java
@@ -25,6 +25,8 @@
 final class FailureTrackerTest {
     private static final double FAILED_RUN_S = 0.5;
     private static final double LONG_RUN_S = 100;
+    /** The heartbeat interval of {@link Fixtures#fleetSettings}. */
+    private static final double HEARTBEAT_INTERVAL_S = 5;
     /** The lease of {@link Fixtures#fleetSettings}. */
     private static final double LEASE_S = 22;
 
@@ -147,6 +149,36 @@
         assertTrue(machine.isUnschedulable());
     }
 
+    /**
+     * Guards against faulty machines that are used again because a job met three of them: other tasks of the job go on.
+     */
+    @Test
+    void jobWithTaskThatRunsLongerThanFailedOnesIsNotTheCause() {
+        cordonMachine();
+        cluster.bind(bind(firstJob, addMachine("i-6")));
+        now += Durations.nanos(2 * HEARTBEAT_INTERVAL_S);
+        for (int i = 2; i < 5; i++) {
+            fail(firstJob, addMachine("i-" + i));
+        }
+        assertTrue(machine.isUnschedulable());
+        assertTrue(firstJob.retryAfter() <= now);
+    }
+
+    @Test
+    void taskThatBeginsToRunLongerThanFailedOnesRestoresCordon() {
+        cordonMachine();
+        fail(firstJob, addMachine("i-2"));
+        fail(firstJob, addMachine("i-3"));
+        assertCordonEnded();
+        Binding running = bind(firstJob, addMachine("i-4"));
+        observeRunning(running, 2 * HEARTBEAT_INTERVAL_S - 1);
+        assertFalse(machine.isUnschedulable());
+        observeRunning(running, 1);
+        assertTrue(machine.isUnschedulable());
+        cancel(firstJob);
+        assertFalse(machine.isUnschedulable());
+    }
+
     /** A machine can fail every new task while its earlier tasks go on. */
     @Test
     void successOfTaskThatStartedBeforeFailuresKeepsCordon() {
--- a/src/test/java/org/spruceridge/schedule/TrialPlacementsTest.java
+++ b/src/test/java/org/spruceridge/schedule/TrialPlacementsTest.java
@@ -38,7 +38,7 @@
     }
 
     private void fail(Job job, Machine machine, long at) {
-        job.failedMachines().add(machine.name());
+        job.recordFailure(machine, 0);
         machine.taskFailures().record(job, 0, at);
     }
 
