--- a/src/main/java/org/spruceridge/schedule/TrialPlacements.java
+++ b/src/main/java/org/spruceridge/schedule/TrialPlacements.java
@@ -46,11 +46,14 @@
             return;
         }
         findBootingMachines();
-        for (boolean hasFailed : new boolean[] {false, true}) {
-            for (WaitingJob waiting : waitingJobs) {
-                if (waiting.job().failedMachines().isEmpty() != hasFailed) {
-                    placeTrials(waiting, machines, place);
-                }
+        for (WaitingJob waiting : waitingJobs) {
+            if (!waiting.job().hasFailed()) {
+                placeTrials(waiting, state.cordonedMachines(), place);
+            }
+        }
+        for (WaitingJob waiting : waitingJobs) {
+            if (waiting.job().hasFailed()) {
+                placeTrials(waiting, machines, place);
             }
         }
     }
