--- a/src/test/java/org/spruceridge/scenario/FailedTaskScenarioTest.java
+++ b/src/test/java/org/spruceridge/scenario/FailedTaskScenarioTest.java
@@ -42,6 +42,12 @@
         cluster.await(() -> cluster.taskStarts().stream().anyMatch(start -> start.startsWith(taskId + "@")), timeoutS);
     }
 
+    /** Waits until the tasks of jobs 2 and 3 have failed on both machines, so that both are cordoned. */
+    private void awaitFailuresOfJobs2And3OnBothMachines() {
+        cluster.await(() -> countStarts("j-000002/0") >= 2 && countStarts("j-000003/0") >= 2, 30);
+        cluster.loop.run(2);
+    }
+
     private long countStarts(String taskId) {
         return cluster.taskStarts().stream()
                 .filter(start -> start.startsWith(taskId + "@"))
@@ -57,8 +63,8 @@
         startTwoMachinesWithReplicas();
         cluster.submitMistaken(shortJob(2));
         cluster.submitMistaken(shortJob(3));
-        cluster.await(() -> countStarts("j-000002/0") >= 2 && countStarts("j-000003/0") >= 2, 30);
-        cluster.loop.run(5);
+        awaitFailuresOfJobs2And3OnBothMachines();
+        cluster.loop.run(3);
         assertEquals("cancelled", cluster.cancel("n0", "j-000002"));
         assertEquals("cancelled", cluster.cancel("n1", "j-000003"));
         cluster.submit(SimJobs.array(4, 1).put("cpus", 1.0));
@@ -77,8 +83,7 @@
         cluster.cloud.setBehaviour(SimWorker.Behaviour.FAILS_NEW_TASKS);
         cluster.submit(shortJob(2));
         cluster.submit(shortJob(3));
-        cluster.await(() -> countStarts("j-000002/0") >= 2 && countStarts("j-000003/0") >= 2, 30);
-        cluster.loop.run(2);
+        awaitFailuresOfJobs2And3OnBothMachines();
         cluster.cloud.setBehaviour(SimWorker.Behaviour.COMPLETES);
         cluster.await(() -> cluster.completedTasks().containsAll(List.of("j-000002/0", "j-000003/0")), MAX_WAIT_S);
         cluster.submit(SimJobs.array(4, 3).put("cpus", 3.0));
@@ -94,8 +99,7 @@
         cluster.cloud.setBehaviour(SimWorker.Behaviour.FAILS_NEW_TASKS);
         cluster.submit(shortJob(2));
         cluster.submit(shortJob(3));
-        cluster.await(() -> countStarts("j-000002/0") >= 2 && countStarts("j-000003/0") >= 2, 30);
-        cluster.loop.run(2);
+        awaitFailuresOfJobs2And3OnBothMachines();
         cluster.submit(SimJobs.array(4, 2).put("cpus", 1.0).put("expectS", 200.0));
         cluster.cloud.setBehaviour(SimWorker.Behaviour.COMPLETES);
         cluster.await(() -> countStarts("j-000004/0") == 1 && countStarts("j-000004/1") == 1, MAX_WAIT_S);
@@ -116,8 +120,8 @@
         cluster.cloud.limitCapacity(0);
         cluster.submitMistaken(shortJob(2));
         cluster.submitMistaken(shortJob(3));
-        cluster.await(() -> countStarts("j-000002/0") >= 2 && countStarts("j-000003/0") >= 2, 30);
-        cluster.loop.run(10);
+        awaitFailuresOfJobs2And3OnBothMachines();
+        cluster.loop.run(8);
         assertEquals("cancelled", cluster.cancel("n0", "j-000002"));
         assertEquals("cancelled", cluster.cancel("n1", "j-000003"));
         cluster.submit(SimJobs.array(4, 1));
@@ -131,8 +135,7 @@
         startTwoMachinesWithReplicas();
         cluster.submitMistaken(shortJob(2));
         cluster.submitMistaken(shortJob(3));
-        cluster.await(() -> countStarts("j-000002/0") >= 2 && countStarts("j-000003/0") >= 2, 30);
-        cluster.loop.run(2);
+        awaitFailuresOfJobs2And3OnBothMachines();
         for (int number = 4; number < 10; number++) {
             cluster.submit(SimJobs.array(number, 1).put("cpus", 3.0));
             String task = SimJobs.id(number) + "/0";
