--- a/review/standins-2/src/Node.java
+++ b/review/standins-2/src/Node.java
@@ -1,5 +1,6 @@
 import java.io.File;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
@@ -8,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 /** One controller: a separate process, started by the run line of the deploy file. */
@@ -32,10 +34,20 @@
         this.peerPort = freePort();
     }
 
+    /**
+     * A free port below the range from which the system takes ports of its own choice, so that no other socket gets the
+     * port while the process of this node is down.
+     */
     static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.getLocalPort();
+        for (int i = 0; i < 1000; i++) {
+            int port = ThreadLocalRandom.current().nextInt(12_000, 32_000);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+                return socket.getLocalPort();
+            } catch (BindException e) {
+                continue; // in use
+            }
         }
+        throw new IOException("no free port");
     }
 
     String name() {
