--- a/review/standins-2/src/Node.java
+++ b/review/standins-2/src/Node.java
@@ -14,7 +14,7 @@
 
 /** One controller: a separate process, started by the run line of the deploy file. */
 final class Node {
-    private final Path repository;
+    private Path repository;
     private final Path folder;
     private final Record record;
     private final String name;
@@ -74,6 +74,11 @@
                 "endpoints", Json.of("cloud", cloud, "state", state), "facts", facts)));
     }
 
+    /** From its next start on, the node runs the program that was built in this folder. */
+    void setRepository(Path newRepository) {
+        repository = newRepository;
+    }
+
     void start() throws IOException {
         String deploy = Files.readString(repository.resolve("deploy/service.toml"), StandardCharsets.UTF_8);
         String run = deploy.lines().filter(line -> line.startsWith("run = \"")).findFirst().orElseThrow();
