--- a/review/standins-2/src/Cloud.java
+++ b/review/standins-2/src/Cloud.java
@@ -94,6 +94,19 @@
         worker.die();
     }
 
+    /** The cloud takes a spot machine back. */
+    void take(Worker worker) {
+        synchronized (this) {
+            Host host = hosts.get(worker.place().host());
+            if (host.goneAt < Double.MAX_VALUE) {
+                return;
+            }
+            host.goneAt = cluster.record().seconds();
+            cluster.record().line("machine taken " + host.name);
+        }
+        worker.die();
+    }
+
     private Host add(String build, String zone, boolean spot, double rentedAt, double bootS) {
         Host host = new Host();
         host.name = String.format("i-%06d", ++lastHost);
