--- a/review/standins-2/src/Rules.java
+++ b/review/standins-2/src/Rules.java
@@ -18,6 +18,7 @@
     private final Map<String, Map<String, Running>> onMachines = new HashMap<>();
     private final Map<String, Set<Integer>> done = new HashMap<>();
     private final Map<String, Double> cancelledAt = new HashMap<>();
+    private final Map<String, Integer> refusals = new HashMap<>();
     private final Map<String, Integer> starts = new HashMap<>();
     private final List<String> violations = new ArrayList<>();
     private final double cancelS;
@@ -93,6 +94,16 @@
         return done.getOrDefault(job, Set.of()).size();
     }
 
+    /** A worker refused to start a task of the job. */
+    synchronized void refused(String part, Place place, String cause) {
+        record.line("refused " + part + " on " + place.host + " " + cause);
+        refusals.merge(jobOf(part), 1, Integer::sum);
+    }
+
+    synchronized int refusedCount(String job) {
+        return refusals.getOrDefault(job, 0);
+    }
+
     synchronized int startCount(String job) {
         return starts.getOrDefault(job, 0);
     }
--- a/review/standins-2/src/Worker.java
+++ b/review/standins-2/src/Worker.java
@@ -184,6 +184,11 @@
         changed = true;
     }
 
+    private void refuse(Task task, String cause) {
+        cluster.rules().refused(task.part, place, cause);
+        end(task, cause);
+    }
+
     private void leave(Task task, String how) {
         if (task.stage.equals("running") || task.stage.equals("saving")) {
             cluster.rules().ended(task.part, task.attempt, place, how);
@@ -387,12 +392,12 @@
         tasks.put(key, task);
         changed = true;
         if (job == null || Rules.indexOf(task.part) >= Json.num(job.get("parts"))) {
-            end(task, "unknown");
+            refuse(task, "unknown");
         } else if (inUse) {
-            end(task, "in_use");
-        } else if (usedCpus + Json.dbl(job.get("cpus")) > cpus + 0.001
-                || usedGb + Json.dbl(job.get("memGb")) > memGb + 0.001) {
-            end(task, "no_room");
+            refuse(task, "in_use");
+        } else if (usedCpus + Json.dbl(job.get("cpus")) > cpus + 1e-9
+                || usedGb + Json.dbl(job.get("memGb")) > memGb + 1e-9) {
+            refuse(task, "no_room");
         } else {
             double fetchS = images.contains(job.get("bundle")) ? 0 : Json.dbl(job.get("pullGb")) / gbPerS;
             task.stageEndsAt = now() + fetchS;
