--- a/review/standins-2/src/Node.java
+++ b/review/standins-2/src/Node.java
@@ -80,6 +80,9 @@
     }
 
     void start() throws IOException {
+        if (isAlive()) {
+            throw new IllegalStateException(name + " runs already");
+        }
         String deploy = Files.readString(repository.resolve("deploy/service.toml"), StandardCharsets.UTF_8);
         String run = deploy.lines().filter(line -> line.startsWith("run = \"")).findFirst().orElseThrow();
         List<String> command = new ArrayList<>(List.of(run.substring(7, run.lastIndexOf('"')).split(" ")));
--- a/review/standins-2/src/Worker.java
+++ b/review/standins-2/src/Worker.java
@@ -304,6 +304,9 @@
             if (request.path().equals("/status")) {
                 return Http.Response.of(200, status());
             }
+            if (!request.path().equals("/do") || request.body().isEmpty()) {
+                return Http.Response.of(400, Json.of("error", "not a command"));
+            }
             Map<String, Object> body = Json.object(request.body());
             if (body.get("warrant") == null || body.get("watch") == null) {
                 return Http.Response.of(400, Json.of("error", "warrant or watch is missing"));
